--- /dev/null
+++ b/src/core/capacity.rs
@@ -0,0 +1,403 @@
+//! Renting and returning machines.
+//!
+//! Work that would wait longer than a new machine takes to come up is packed onto imagined
+//! machines, cheapest first; what fills one well enough is rented. Machines go back when they are
+//! idle, silent, sick, about to be taken, or never came up.
+
+use super::cluster::{Action, Cluster, Host};
+use super::history::Average;
+use super::model::*;
+use super::placement::{permits, Waiting};
+use std::collections::{BTreeMap, HashMap};
+use std::time::{Duration, Instant};
+
+/// The cloud takes no more in one rental, and no more names in one return.
+const MOST_RENTED: u32 = 50;
+const MOST_RETURNED: usize = 100;
+/// After a refusal, the same kind is not asked for again for this long.
+const REFUSED_PAUSE: Duration = Duration::from_secs(12);
+
+type Offer = (TypeName, Site, bool);
+
+#[derive(Clone, Debug)]
+struct Rental {
+    offer: Offer,
+    number: u32,
+    sent: bool,
+    retry_at: Option<Instant>,
+}
+
+#[derive(Debug, Default)]
+pub struct Capacity {
+    claims: u64,
+    rentals: BTreeMap<String, Rental>,
+    refused: HashMap<Offer, (Instant, u32)>,
+    boots: HashMap<TypeName, Average>,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Rented {
+    Hosts(Vec<HostId>),
+    /// The cloud has none of this kind.
+    NoCapacity,
+    /// Trouble, too many requests, or no answer: the same claim must be repeated.
+    Unknown,
+}
+
+impl Capacity {
+    pub fn booted(&mut self, t: &TypeName, took: Duration) {
+        self.boots
+            .entry(t.clone())
+            .or_default()
+            .add(took.as_secs_f64());
+    }
+    /// How long a machine takes from the rental to its first report.
+    pub fn boot_time(&self, t: &HostType) -> Duration {
+        match self.boots.get(&t.name) {
+            Some(a) if a.count >= 2 => Duration::from_secs_f64(a.mean.clamp(0.5, 600.0)),
+            _ => t.boot,
+        }
+    }
+    fn pending(&self) -> u32 {
+        self.rentals.values().map(|r| r.number).sum()
+    }
+}
+
+/// A machine that might be rented, as the plan fills it.
+struct Imagined {
+    offer: Offer,
+    room: Need,
+    free: Need,
+    tasks: usize,
+}
+
+impl Cluster {
+    pub(super) fn manage_capacity(&mut self, now: Instant, waiting: &[Waiting]) {
+        self.return_hosts(now);
+        self.rent(now, waiting);
+        self.repeat_rentals(now);
+    }
+
+    // --- renting ---
+
+    fn rent(&mut self, now: Instant, waiting: &[Waiting]) {
+        if self.types.is_empty() || now.saturating_duration_since(self.started) < self.params.report * 2 {
+            return;
+        }
+        let mut plan: Vec<Imagined> = Vec::new();
+        // Rentals under way will take the first of the waiting.
+        for r in self.capacity.rentals.values() {
+            if let Some(t) = self.types.iter().find(|t| t.name == r.offer.0) {
+                for _ in 0..r.number {
+                    plan.push(Imagined {
+                        offer: r.offer.clone(),
+                        room: t.room,
+                        free: t.room,
+                        tasks: 0,
+                    });
+                }
+            }
+        }
+        let under_way = plan.len();
+        let mut same: HashMap<&Uid, usize> = HashMap::new();
+        for w in waiting {
+            *same.entry(&w.uid).or_default() += 1;
+        }
+        for w in waiting {
+            let Some(job) = self.jobs.get(&w.uid) else {
+                continue;
+            };
+            let spec = &job.spec;
+            let site_of = |h: &HostId| self.hosts.get(h).map(|h| h.site.clone());
+            let worth = |t: &HostType| {
+                w.wait.is_none_or(|wait| wait > self.capacity.boot_time(t).mul_f64(0.8))
+            };
+            let fits_open = plan.iter_mut().find(|m| {
+                let o = &m.offer;
+                spec.need.fits(&m.free) && permits(job, &site_of, &o.0, &o.1, o.2)
+            });
+            if let Some(m) = fits_open {
+                m.free.sub(&spec.need);
+                m.tasks += 1;
+                continue;
+            }
+            let mut best: Option<(f64, Offer, Need)> = None;
+            let left = same.get(&w.uid).copied().unwrap_or(1).max(1);
+            for t in self.types.iter().filter(|t| worth(t)) {
+                let slots = spec.need.count_in(&t.room);
+                if slots == 0 {
+                    continue;
+                }
+                for site in &t.sites {
+                    for spot in [true, false] {
+                        let offer = (t.name.clone(), site.clone(), spot);
+                        if !permits(job, &site_of, &t.name, site, spot) || self.is_refused(now, &offer) {
+                            continue;
+                        }
+                        let crowd = self.site_crowd(site) + plan.iter().filter(|m| &m.offer.1 == site).count();
+                        let cost = t.price(spot) / slots.min(left) as f64 * (1.0 + 0.001 * crowd as f64);
+                        if best.as_ref().is_none_or(|b| cost < b.0) {
+                            best = Some((cost, offer, t.room));
+                        }
+                    }
+                }
+            }
+            if let Some((_, offer, room)) = best {
+                let mut free = room;
+                free.sub(&spec.need);
+                plan.push(Imagined {
+                    offer,
+                    room,
+                    free,
+                    tasks: 1,
+                });
+                if let Some(n) = same.get_mut(&w.uid) {
+                    *n = n.saturating_sub(1);
+                }
+            }
+        }
+        let mut counts: BTreeMap<Offer, u32> = BTreeMap::new();
+        for m in plan.iter().skip(under_way).filter(|m| m.tasks > 0 && m.room != Need::default()) {
+            *counts.entry(m.offer.clone()).or_default() += 1;
+        }
+        for (offer, n) in counts {
+            let room = (self.params.tuning.max_hosts)
+                .saturating_sub(self.hosts.len() + self.capacity.pending() as usize);
+            let n = n.min(MOST_RENTED).min(room as u32);
+            if n > 0 {
+                self.order_rental(offer, n);
+            }
+        }
+    }
+
+    fn site_crowd(&self, site: &Site) -> usize {
+        self.hosts.values().filter(|h| &h.site == site).count()
+    }
+
+    fn is_refused(&self, now: Instant, offer: &Offer) -> bool {
+        self.capacity
+            .refused
+            .get(offer)
+            .is_some_and(|(until, _)| now < *until)
+    }
+
+    fn order_rental(&mut self, offer: Offer, number: u32) {
+        self.capacity.claims += 1;
+        // The term makes a claim unique among all nodes and lives.
+        let claim = format!("t{}-{}", self.term.0, self.capacity.claims);
+        log::info!("renting claim={claim} type={} site={} spot={} number={number}", offer.0, offer.1, offer.2);
+        self.capacity.rentals.insert(
+            claim,
+            Rental {
+                offer,
+                number,
+                sent: false,
+                retry_at: None,
+            },
+        );
+    }
+
+    fn repeat_rentals(&mut self, now: Instant) {
+        for (claim, r) in self.capacity.rentals.iter_mut() {
+            if r.sent || r.retry_at.is_some_and(|t| now < t) {
+                continue;
+            }
+            r.sent = true;
+            self.actions.push(Action::Rent {
+                claim: claim.clone(),
+                host_type: r.offer.0.clone(),
+                site: r.offer.1.clone(),
+                spot: r.offer.2,
+                number: r.number,
+            });
+        }
+    }
+
+    pub fn on_rented(&mut self, now: Instant, claim: &str, outcome: Rented) {
+        match outcome {
+            Rented::Unknown => {
+                if let Some(r) = self.capacity.rentals.get_mut(claim) {
+                    r.sent = false;
+                    r.retry_at = Some(now + Duration::from_secs(2));
+                }
+            }
+            Rented::NoCapacity => {
+                if let Some(r) = self.capacity.rentals.remove(claim) {
+                    self.refuse(now, r.offer);
+                }
+            }
+            Rented::Hosts(ids) => {
+                let Some(r) = self.capacity.rentals.remove(claim) else {
+                    return;
+                };
+                log::info!("rented claim={claim} hosts={}", ids.len());
+                if (ids.len() as u32) < r.number {
+                    self.refuse(now, r.offer.clone());
+                } else {
+                    self.capacity.refused.remove(&r.offer);
+                }
+                let term = self.term;
+                for id in ids {
+                    if self.is_tombstone(&id) {
+                        continue;
+                    }
+                    self.hosts.entry(id.clone()).or_insert_with(|| {
+                        let (t, s, spot) = r.offer.clone();
+                        let mut h = Host::new(id, t, s, spot, term, now);
+                        h.booting = Some(now);
+                        h
+                    });
+                }
+            }
+        }
+        self.round_due = true;
+    }
+
+    fn refuse(&mut self, now: Instant, offer: Offer) {
+        let e = self.capacity.refused.entry(offer).or_insert((now, 0));
+        e.1 = (e.1 + 1).min(3);
+        e.0 = now + REFUSED_PAUSE * e.1;
+    }
+
+    /// The cloud's list: machines that this term did not rent are adopted, failed ones returned.
+    pub fn on_list(&mut self, now: Instant, listed: &[Listed]) {
+        let term = self.term;
+        for l in listed {
+            if self.is_tombstone(&l.id) {
+                continue;
+            }
+            let h = self.hosts.entry(l.id.clone()).or_insert_with(|| {
+                log::info!("adopting listed host={} phase={:?}", l.id, l.phase);
+                let mut h = Host::new(l.id.clone(), l.host_type.clone(), l.site.clone(), l.spot, term, now);
+                if l.phase == ListedPhase::Booting {
+                    h.booting = now.checked_sub(l.age).or(Some(now));
+                }
+                h
+            });
+            if h.host_type.0.is_empty() {
+                h.host_type = l.host_type.clone();
+                h.site = l.site.clone();
+                h.spot = l.spot;
+            }
+            if l.phase == ListedPhase::Failed && !h.returning {
+                log::info!("host failed host={}", l.id);
+                h.returning = true;
+            }
+        }
+    }
+
+    // --- returning ---
+
+    fn return_hosts(&mut self, now: Instant) {
+        let p = &self.params;
+        let silent_after = p
+            .lease
+            .mul_f64(p.tuning.silent_share)
+            .max(p.report.mul_f64(3.5));
+        let up = |h: &&Host| h.reported && !h.returning;
+        let silent = |h: &Host| now.saturating_duration_since(h.last_heard) > silent_after;
+        let all = self.hosts.values().filter(up).count();
+        let quiet = self.hosts.values().filter(up).filter(|h| silent(h)).count();
+        // When most fall silent at once, the fault is more likely on our side.
+        let ours = quiet >= 3 && quiet * 2 > all;
+        let spare = self.spare(now);
+        let mut spare_left = spare;
+        let mut leaving: Vec<(HostId, &str)> = Vec::new();
+        // The dearest idle machines go first.
+        let mut hosts: Vec<&Host> = self.hosts.values().filter(|h| !h.returning).collect();
+        hosts.sort_by(|a, b| {
+            let price = |h: &Host| {
+                let t = self.host_type(&h.host_type);
+                t.map_or(0.0, |t| t.price(h.spot) / t.room.cpus.max(1.0))
+            };
+            price(b).total_cmp(&price(a))
+        });
+        for h in hosts {
+            let t = self.host_type(&h.host_type);
+            if let Some(since) = h.booting {
+                let boot = t.map_or(Duration::from_secs(60), |t| t.boot);
+                if now.saturating_duration_since(since) > boot.mul_f64(4.0) + Duration::from_secs(30) {
+                    leaving.push((h.id.clone(), "never came up"));
+                }
+                continue;
+            }
+            if h.quarantined {
+                leaving.push((h.id.clone(), "sick"));
+            } else if h.eviction.is_some() && h.placed.is_empty() {
+                leaving.push((h.id.clone(), "to be taken"));
+            } else if silent(h) && !ours && (h.reported || now.saturating_duration_since(h.known_since) > p.lease) {
+                leaving.push((h.id.clone(), "silent"));
+            } else if let (Some(since), Some(t)) = (h.idle_since, t) {
+                let keep = if h.spot { p.tuning.idle_spot } else { p.tuning.idle_ordinary };
+                let idle = now.saturating_duration_since(since) > keep;
+                if h.reported && h.placed.is_empty() && idle {
+                    let cpus = t.room.cpus;
+                    if spare_left.cpus >= cpus {
+                        spare_left.sub(&t.room);
+                        leaving.push((h.id.clone(), "idle"));
+                    }
+                }
+            }
+        }
+        for (id, why) in leaving {
+            if let Some(h) = self.hosts.get_mut(&id) {
+                log::info!("returning host={id} why={why} tasks={}", h.placed.len());
+                h.returning = true;
+            }
+        }
+        let due: Vec<HostId> = self
+            .hosts
+            .values()
+            .filter(|h| h.returning && h.return_sent.is_none_or(|t| now.saturating_duration_since(t) > Duration::from_secs(20)))
+            .map(|h| h.id.clone())
+            .take(MOST_RETURNED)
+            .collect();
+        if !due.is_empty() {
+            for id in &due {
+                if let Some(h) = self.hosts.get_mut(id) {
+                    h.return_sent = Some(now);
+                }
+            }
+            self.actions.push(Action::Return { hosts: due });
+        }
+    }
+
+    /// Free room beyond what is kept ready for classes whose tasks must start soon.
+    fn spare(&self, now: Instant) -> Need {
+        let mut free = Need::default();
+        for h in self.hosts.values() {
+            let Some(t) = self.host_type(&h.host_type) else {
+                continue;
+            };
+            let fresh = now.saturating_duration_since(h.last_heard) <= self.params.report * 3;
+            if h.reported && fresh && !h.returning && !h.quarantined && h.eviction.is_none() {
+                free.add(&t.room);
+                free.sub(&h.used);
+            }
+        }
+        free.cpus = (free.cpus - self.headroom()).max(0.0);
+        free
+    }
+
+    /// CPUs to keep free: what the typical job of each class with a start aim takes.
+    fn headroom(&self) -> f64 {
+        let mut sum = 0.0;
+        for o in &self.params.objectives {
+            if o.kind != "wait" {
+                continue;
+            }
+            let Some(class) = &o.class else { continue };
+            let jobs: Vec<f64> = self
+                .jobs
+                .values()
+                .filter(|j| &j.spec.class == class)
+                .map(|j| j.spec.need.cpus * f64::from(j.spec.shards))
+                .collect();
+            if !jobs.is_empty() {
+                let mean = jobs.iter().sum::<f64>() / jobs.len() as f64;
+                sum = f64::max(sum, mean * self.params.tuning.headroom_jobs);
+            }
+        }
+        sum
+    }
+}
--- /dev/null
+++ b/src/core/leadership.rs
@@ -0,0 +1,146 @@
+//! Who leads: a state machine over what the state service answers.
+//!
+//! Taking leadership is one transaction: the leader key, bound to a lease, and the term's counter
+//! raised by one. Everything the leader writes afterwards is conditional on the stamp that this
+//! transaction gave the leader key, so a superseded leader's writes fail wherever they linger.
+
+use super::model::Term;
+use std::time::{Duration, Instant};
+
+/// The leader key's content as last read.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LeaderRecord {
+    pub member: String,
+    /// Tells two lives of the same member apart.
+    pub boot: u64,
+    pub term: Term,
+    pub stamp: u64,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Role {
+    Follower { leader: Option<LeaderRecord> },
+    Leader { term: Term, stamp: u64 },
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Step {
+    /// Nothing to do before the next observation.
+    Wait,
+    /// Try to take the leadership; the leader key must still have this stamp (0: absent).
+    Campaign { stamp: u64 },
+    /// Keep the lease alive.
+    Renew,
+    /// Another leads; stop at once.
+    StepDown,
+}
+
+pub struct Leadership {
+    member: String,
+    boot: u64,
+    role: Role,
+    renew_every: Duration,
+    last_renewal: Option<Instant>,
+    backoff_until: Option<Instant>,
+    highest: Term,
+}
+
+impl Leadership {
+    pub fn new(member: &str, boot: u64, renew_every: Duration) -> Self {
+        Leadership {
+            member: member.to_owned(),
+            boot,
+            role: Role::Follower { leader: None },
+            renew_every,
+            last_renewal: None,
+            backoff_until: None,
+            highest: Term(0),
+        }
+    }
+
+    pub fn role(&self) -> &Role {
+        &self.role
+    }
+
+    /// The highest term seen anywhere.
+    pub fn highest(&self) -> Term {
+        self.highest
+    }
+
+    /// The leader key as it stands (None: absent).
+    pub fn observed(&mut self, now: Instant, record: Option<LeaderRecord>) -> Step {
+        if let Some(r) = &record {
+            self.highest = self.highest.max(r.term);
+        }
+        match (&self.role, record) {
+            (Role::Leader { stamp, .. }, Some(r)) if r.stamp == *stamp => self.due(now),
+            // An old read may be overtaken by our own takeover: only a newer stamp counts.
+            (Role::Leader { stamp, .. }, Some(r)) if r.stamp < *stamp => self.due(now),
+            (Role::Leader { .. }, r) => {
+                self.role = Role::Follower { leader: r };
+                Step::StepDown
+            }
+            (Role::Follower { .. }, r) => {
+                self.role = Role::Follower { leader: r };
+                self.due(now)
+            }
+        }
+    }
+
+    /// What is due now.
+    pub fn due(&self, now: Instant) -> Step {
+        match &self.role {
+            Role::Leader { .. } => match self.last_renewal {
+                Some(t) if now.saturating_duration_since(t) < self.renew_every => Step::Wait,
+                _ => Step::Renew,
+            },
+            Role::Follower { leader } => {
+                if self.backoff_until.is_some_and(|b| now < b) {
+                    return Step::Wait;
+                }
+                match leader {
+                    None => Step::Campaign { stamp: 0 },
+                    // Our own earlier life still holds the key: it is dead, since a member is one
+                    // process, and its late writes fail on the stamp. No need to wait for its lease.
+                    Some(r) if r.member == self.member && r.boot != self.boot => {
+                        Step::Campaign { stamp: r.stamp }
+                    }
+                    Some(_) => Step::Wait,
+                }
+            }
+        }
+    }
+
+    pub fn won(&mut self, now: Instant, term: Term, stamp: u64) {
+        self.highest = self.highest.max(term);
+        self.last_renewal = Some(now);
+        self.role = Role::Leader { term, stamp };
+    }
+
+    /// A campaign that failed or whose outcome is unknown: look again after a pause.
+    pub fn lost(&mut self, now: Instant, pause: Duration) {
+        self.backoff_until = Some(now + pause);
+    }
+
+    pub fn renewed(&mut self, now: Instant) {
+        self.last_renewal = Some(now);
+    }
+
+    /// The lease has ended, and with it the leader key.
+    pub fn lease_ended(&mut self) -> Step {
+        self.role = Role::Follower { leader: None };
+        Step::StepDown
+    }
+
+    /// A report or a peer shows a term. A higher one ends ours.
+    pub fn term_seen(&mut self, term: Term) -> Step {
+        self.highest = self.highest.max(term);
+        match &self.role {
+            Role::Leader { term: own, .. } if term > *own => {
+                self.role = Role::Follower { leader: None };
+                Step::StepDown
+            }
+            _ => Step::Wait,
+        }
+    }
+}
--- /dev/null
+++ b/src/core/placement.rs
@@ -0,0 +1,423 @@
+//! The placement rule: each task goes to the machine with the least Avail + Est + penalty.
+//!
+//! Tasks are taken by priority, then arrival; a task that would pass its team's limit is skipped.
+//! A task starts only where room is free now. Where the best machine is busy, the task is booked on
+//! it for this round, which pushes that machine's Avail out for the tasks after it, and the task
+//! waits to be scored again in the next round.
+
+use super::cluster::{Cluster, Host, Job};
+use super::model::*;
+use std::cmp::Ordering;
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+/// Tasks looked at in one round. A longer queue waits for the rounds to come.
+const ROUND_TASKS: usize = 400;
+/// Scores closer than this are equal: reports come no more often than every half second.
+const RESOLUTION_S: f64 = 1.0;
+
+/// A task that found no room, and when the best machine is expected to have some.
+#[derive(Clone, Debug)]
+pub struct Waiting {
+    pub uid: Uid,
+    pub wait: Option<Duration>,
+    pub est: Duration,
+}
+
+/// A machine as the round sees it, with this round's starts and bookings on top.
+struct Slot {
+    id: HostId,
+    site: Site,
+    spot: bool,
+    type_index: usize,
+    /// Room free now; for a machine that is still booting, its whole room later.
+    free: Need,
+    /// Room once bookings are taken off; may be negative.
+    later: Need,
+    releases: Vec<(Instant, Need)>,
+    up_at: Option<Instant>,
+    speed: f64,
+    fill: f64,
+    price: f64,
+}
+
+impl Slot {
+    /// Avail: now if room fits, else when booked tasks free enough.
+    fn avail(&self, now: Instant, need: &Need, room: &Need) -> Option<(Instant, bool)> {
+        if !need.fits(room) {
+            return None;
+        }
+        if self.up_at.is_none() && need.fits(&self.free) {
+            return Some((now, true));
+        }
+        let mut at = self.up_at.unwrap_or(now);
+        let mut free = self.later;
+        if need.fits(&free) {
+            return Some((at, false));
+        }
+        for (t, n) in &self.releases {
+            free.add(n);
+            at = at.max(*t);
+            if need.fits(&free) {
+                return Some((at, false));
+            }
+        }
+        None
+    }
+
+    fn book(&mut self, at: Instant, est: Duration, need: &Need) {
+        self.later.sub(need);
+        let end = at + est;
+        let i = self.releases.partition_point(|(t, _)| *t <= end);
+        self.releases.insert(i, (end, *need));
+    }
+}
+
+/// Whether a job may start one more task there: the one place that every launch passes.
+pub fn permits(job: &Job, hosts: &impl Fn(&HostId) -> Option<Site>, type_name: &TypeName, site: &Site, spot: bool) -> bool {
+    let spec = &job.spec;
+    if !spec.allows_type(type_name) || !spec.allows_site(site) || (spot && !spec.preemptible) {
+        return false;
+    }
+    if spec.same_place || spec.spread {
+        let mut here = 0;
+        for a in job.active.values() {
+            // A task whose zone is not known could be in any.
+            match hosts(&a.host) {
+                Some(s) if &s == site => here += 1,
+                Some(_) if spec.same_place => return false,
+                Some(_) => {}
+                None => return false,
+            }
+        }
+        if spec.spread && here + 1 > spec.shards.div_ceil(2) {
+            return false;
+        }
+    }
+    true
+}
+
+impl Cluster {
+    fn usable(&self, now: Instant, h: &Host) -> bool {
+        let fresh = now.saturating_duration_since(h.last_heard) <= self.params.report.mul_f64(2.5);
+        h.reported
+            && fresh
+            && !h.returning
+            && !h.quarantined
+            && h.eviction.is_none()
+            && h.avoid_until.is_none_or(|t| t <= now)
+    }
+
+    fn slots(&self, now: Instant) -> Vec<Slot> {
+        let mut slots = Vec::new();
+        for h in self.hosts.values() {
+            let Some(ti) = self.types.iter().position(|t| t.name == h.host_type) else {
+                continue;
+            };
+            let t = &self.types[ti];
+            let up_at = match h.booting {
+                Some(since) if !h.returning => {
+                    Some((since + self.capacity.boot_time(t)).max(now + Duration::from_secs(1)))
+                }
+                _ if self.usable(now, h) => None,
+                _ => continue,
+            };
+            let mut free = t.room;
+            free.sub(&h.used);
+            free.sub(&h.foreign);
+            let mut releases = Vec::with_capacity(h.placed.len());
+            for task in h.placed.keys() {
+                let Some(job) = self.jobs.get(&task.uid) else {
+                    continue;
+                };
+                let Some(a) = job.active.get(&task.index) else {
+                    continue;
+                };
+                let rest = match (a.running_since, &a.kill) {
+                    (_, Some(k)) => (k.since + k.wind_down).saturating_duration_since(now),
+                    (Some(s), None) => {
+                        let ran = now.saturating_duration_since(s);
+                        // Past its estimate, a task is taken to need as much again as a tenth.
+                        a.est.saturating_sub(ran).max(ran.mul_f64(0.1))
+                    }
+                    (None, None) => a.est + self.fetch_rest(now, h, t, &job.spec.image),
+                };
+                releases.push((now + rest, job.spec.need));
+            }
+            releases.sort_by_key(|r| r.0);
+            slots.push(Slot {
+                id: h.id.clone(),
+                site: h.site.clone(),
+                spot: h.spot,
+                type_index: ti,
+                free,
+                later: free,
+                releases,
+                up_at,
+                speed: h.speed(),
+                fill: h.used.share_of(&t.room),
+                price: t.price(h.spot) / t.room.cpus.max(1.0),
+            });
+        }
+        slots
+    }
+
+    /// What is left of a fetch under way, with the fetches that share its rate.
+    fn fetch_rest(&self, now: Instant, h: &Host, t: &HostType, image: &str) -> Duration {
+        let Some((since, _)) = h.fetching.get(image) else {
+            return Duration::ZERO;
+        };
+        let all: f64 = h.fetching.values().map(|f| f.1).sum();
+        let whole = self.history.fetch_time(&t.name, t.fetch_gb_per_s, all);
+        whole.saturating_sub(now.saturating_duration_since(*since))
+    }
+
+    /// The penalty: zero where the image is cached, else its fetch behind those queued.
+    fn penalty(&self, now: Instant, h: &Host, t: &HostType, spec: &JobSpec) -> Duration {
+        if spec.image_gb <= 0.0 || h.has_image(&spec.image) {
+            return Duration::ZERO;
+        }
+        if h.fetching.contains_key(&spec.image) {
+            return self.fetch_rest(now, h, t, &spec.image);
+        }
+        let queued: f64 = h.fetching.values().map(|f| f.1).sum();
+        self.history
+            .fetch_time(&t.name, t.fetch_gb_per_s, queued + spec.image_gb)
+    }
+
+    /// One round over the queue. Starts what can start; returns what waits.
+    pub(super) fn place(&mut self, now: Instant) -> Vec<Waiting> {
+        self.sort_order();
+        let mut slots = self.slots(now);
+        let mut waiting = Vec::new();
+        let mut looked = 0;
+        let order = self.order.clone();
+        let mut booked: HashMap<TeamName, Need> = HashMap::new();
+        for uid in &order {
+            if looked >= ROUND_TASKS {
+                break;
+            }
+            let Some(job) = self.jobs.get(uid) else {
+                continue;
+            };
+            if job.over() || job.backoff_until.is_some_and(|b| now < b) {
+                continue;
+            }
+            if job.waiting_count() == 0 {
+                continue;
+            }
+            if job.spec.kind == JobKind::Gang {
+                looked += job.spec.shards as usize;
+                self.place_gang(now, uid, &mut slots, &mut waiting);
+                continue;
+            }
+            let pending = job.pending(ROUND_TASKS - looked);
+            looked += pending.len();
+            let spec = job.spec.clone();
+            let ests: Vec<Duration> = self
+                .types
+                .iter()
+                .map(|t| self.history.est(&spec, &t.name))
+                .collect();
+            let mut penalties: Vec<Duration> = slots
+                .iter()
+                .map(|s| match self.hosts.get(&s.id) {
+                    Some(h) => self.penalty(now, h, &self.types[s.type_index], &spec),
+                    None => Duration::ZERO,
+                })
+                .collect();
+            for index in pending {
+                if !self.team_allows(&spec, &booked) {
+                    break;
+                }
+                let Some(job) = self.jobs.get(uid) else {
+                    break;
+                };
+                let kept = job.progress.get(&index).copied().unwrap_or_default();
+                match self.best(now, job, &slots, &ests, &penalties, kept) {
+                    Some((i, _, true, est)) => {
+                        let s = &mut slots[i];
+                        s.free.sub(&spec.need);
+                        let host = s.id.clone();
+                        s.book(now, est + penalties[i], &spec.need);
+                        let room = self.types[s.type_index].room;
+                        s.fill += spec.need.share_of(&room);
+                        let attempt = self.next_attempt();
+                        log::debug!("placing task={uid}/{index} host={host} est_s={:.1} fetch_s={:.1} term={}", est.as_secs_f64(), penalties[i].as_secs_f64(), self.term.0);
+                        self.assign(now, uid, index, &host, attempt, est);
+                    }
+                    Some((i, at, false, est)) => {
+                        let s = &mut slots[i];
+                        s.book(at, est + penalties[i], &spec.need);
+                        booked
+                            .entry(spec.owner.clone())
+                            .or_default()
+                            .add(&spec.need);
+                        // The first booked task brings the image for those behind it.
+                        penalties[i] = Duration::ZERO;
+                        waiting.push(Waiting {
+                            uid: uid.clone(),
+                            wait: Some(at.saturating_duration_since(now)),
+                            est,
+                        });
+                    }
+                    None => {
+                        booked
+                            .entry(spec.owner.clone())
+                            .or_default()
+                            .add(&spec.need);
+                        waiting.push(Waiting {
+                            uid: uid.clone(),
+                            wait: None,
+                            est: ests.iter().min().copied().unwrap_or(spec.expected),
+                        });
+                    }
+                }
+            }
+        }
+        waiting
+    }
+
+    /// Whether the team's limit leaves room for one more, counting doubtful and booked tasks.
+    fn team_allows(&self, spec: &JobSpec, booked: &HashMap<TeamName, Need>) -> bool {
+        let Some(team) = self.params.teams.iter().find(|t| t.name == spec.owner) else {
+            return false;
+        };
+        let mut used = self.usage.get(&spec.owner).copied().unwrap_or_default();
+        if let Some(b) = booked.get(&spec.owner) {
+            used.add(b);
+        }
+        team.allows(&used, &spec.need)
+    }
+
+    fn site_of(&self) -> impl Fn(&HostId) -> Option<Site> + '_ {
+        |h| {
+            let host = self.hosts.get(h)?;
+            (!host.site.0.is_empty()).then(|| host.site.clone())
+        }
+    }
+
+    /// The slot with the least Avail + Est + penalty; among equals the fullest, then the cheapest.
+    fn best(&self, now: Instant, job: &Job, slots: &[Slot], ests: &[Duration], penalties: &[Duration], kept: Duration) -> Option<(usize, Instant, bool, Duration)> {
+        let mut best: Option<(i64, f64, f64, usize, Instant, bool, Duration)> = None;
+        let site_of = self.site_of();
+        for (i, s) in slots.iter().enumerate() {
+            let t = &self.types[s.type_index];
+            let Some((at, free_now)) = s.avail(now, &job.spec.need, &t.room) else {
+                continue;
+            };
+            if !permits(job, &site_of, &t.name, &s.site, s.spot) {
+                continue;
+            }
+            if job.error_hosts.len() < 3 && job.error_hosts.contains(&s.id) {
+                continue;
+            }
+            let est = ests[s.type_index].saturating_sub(kept).mul_f64(s.speed);
+            let score = at.saturating_duration_since(now) + est + penalties[i];
+            let score = (score.as_secs_f64() / RESOLUTION_S).round() as i64;
+            let better = match &best {
+                None => true,
+                Some((bs, bf, bp, ..)) => {
+                    score
+                        .cmp(bs)
+                        .then(bf.total_cmp(&s.fill))
+                        .then(s.price.total_cmp(bp))
+                        == Ordering::Less
+                }
+            };
+            if better {
+                best = Some((score, s.fill, s.price, i, at, free_now, est));
+            }
+        }
+        best.map(|b| (b.3, b.4, b.5, b.6))
+    }
+
+    /// A gang starts only when every member has room now.
+    fn place_gang(&mut self, now: Instant, uid: &Uid, slots: &mut [Slot], waiting: &mut Vec<Waiting>) {
+        let Some(job) = self.jobs.get(uid) else {
+            return;
+        };
+        if !job.active.is_empty() {
+            return;
+        }
+        let spec = job.spec.clone();
+        let Some(team) = self.params.teams.iter().find(|t| t.name == spec.owner) else {
+            return;
+        };
+        let used = self.usage.get(&spec.owner).copied().unwrap_or_default();
+        if !team.allows(&used, &spec.need.times(f64::from(spec.shards))) {
+            return;
+        }
+        let site_of = self.site_of();
+        let mut sites: Vec<Option<Site>> = vec![None];
+        if spec.same_place {
+            sites = slots.iter().map(|s| Some(s.site.clone())).collect();
+            sites.sort();
+            sites.dedup();
+        }
+        let mut chosen: Option<(Duration, Vec<usize>)> = None;
+        for only in &sites {
+            let mut members = Vec::new();
+            let mut free: Vec<Need> = slots.iter().map(|s| s.free).collect();
+            let mut per_site: HashMap<Site, u32> = HashMap::new();
+            let mut slowest = Duration::ZERO;
+            let half = spec.shards.div_ceil(2);
+            while members.len() < spec.shards as usize {
+                let candidate = slots
+                    .iter()
+                    .enumerate()
+                    .filter(|(i, s)| {
+                        s.up_at.is_none()
+                            && spec.need.fits(&free[*i])
+                            && only.as_ref().is_none_or(|o| o == &s.site)
+                            && (!spec.spread
+                                || per_site.get(&s.site).copied().unwrap_or(0) < half)
+                            && permits(job, &site_of, &self.types[s.type_index].name, &s.site, s.spot)
+                    })
+                    .filter_map(|(i, s)| {
+                        let t = &self.types[s.type_index];
+                        let h = self.hosts.get(&s.id)?;
+                        let est = self.history.est(&spec, &t.name).mul_f64(s.speed);
+                        Some((i, est + self.penalty(now, h, t, &spec)))
+                    })
+                    .min_by(|a, b| a.1.cmp(&b.1).then(a.0.cmp(&b.0)));
+                let Some((i, score)) = candidate else {
+                    break;
+                };
+                free[i].sub(&spec.need);
+                *per_site.entry(slots[i].site.clone()).or_default() += 1;
+                slowest = slowest.max(score);
+                members.push(i);
+            }
+            let whole = members.len() == spec.shards as usize;
+            if whole && chosen.as_ref().is_none_or(|(s, _)| slowest < *s) {
+                chosen = Some((slowest, members));
+            }
+        }
+        drop(site_of);
+        match chosen {
+            Some((_, members)) => {
+                let attempt = self.next_attempt();
+                for (index, i) in members.into_iter().enumerate() {
+                    let s = &mut slots[i];
+                    s.free.sub(&spec.need);
+                    let host = s.id.clone();
+                    let est = self
+                        .history
+                        .est(&spec, &self.types[s.type_index].name)
+                        .mul_f64(s.speed);
+                    s.book(now, est, &spec.need);
+                    self.assign(now, uid, index as u32, &host, attempt, est);
+                }
+            }
+            None => {
+                let est = spec.expected;
+                waiting.extend((0..spec.shards).take(ROUND_TASKS).map(|_| Waiting {
+                    uid: uid.clone(),
+                    wait: None,
+                    est,
+                }));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,9 @@
+//! Cypressgap, a cluster scheduler.
+//!
+//! `core` decides and performs no input or output; `net` speaks to users, workers, the cloud, the
+//! state service and the other controllers; `runtime` joins the two with threads and channels.
+
+pub mod core;
+pub mod net;
+pub mod runtime;
+pub mod settings;
--- /dev/null
+++ b/src/net/cloud.rs
@@ -0,0 +1,82 @@
+//! The cloud's protocol.
+
+use super::http::Client;
+use super::wire::{HostList, HostNames, RentRequest, WireTypes};
+use crate::core::capacity::Rented;
+use crate::core::model::{HostId, Listed};
+use std::time::Duration;
+
+const LIMIT: Duration = Duration::from_secs(8);
+const NONE: Option<&()> = None;
+
+#[derive(Clone)]
+pub struct Cloud {
+    client: Client,
+}
+
+impl Cloud {
+    pub fn new(client: Client) -> Cloud {
+        Cloud { client }
+    }
+
+    pub fn types(&self) -> Option<WireTypes> {
+        let a = self
+            .client
+            .call("GET", "/machine_types", NONE, LIMIT)
+            .ok()?;
+        (a.status == 200).then(|| a.decode()).flatten()
+    }
+
+    pub fn rent(&self, request: &RentRequest) -> Rented {
+        #[derive(serde::Deserialize)]
+        struct Refusal {
+            error: Option<String>,
+        }
+        match self.client.call("POST", "/hosts", Some(request), LIMIT) {
+            Ok(a) if a.status == 200 => match a.decode::<HostNames>() {
+                Some(n) => Rented::Hosts(n.hosts.into_iter().map(HostId).collect()),
+                None => Rented::Unknown,
+            },
+            Ok(a) if a.status == 503 => match a.decode::<Refusal>().and_then(|r| r.error) {
+                Some(e) if e == "no capacity" => Rented::NoCapacity,
+                _ => Rented::Unknown,
+            },
+            Ok(a) if a.status == 400 => {
+                log::warn!("the cloud calls a rental malformed claim={}", request.claim);
+                Rented::NoCapacity
+            }
+            _ => Rented::Unknown,
+        }
+    }
+
+    /// True: by now the machines and all that was on them are gone.
+    pub fn give_back(&self, hosts: &[HostId]) -> bool {
+        let body = HostNames {
+            hosts: hosts.iter().map(|h| h.0.clone()).collect(),
+        };
+        match self
+            .client
+            .call("POST", "/hosts/return", Some(&body), LIMIT)
+        {
+            Ok(a) => a.status == 200,
+            Err(_) => false,
+        }
+    }
+
+    /// One page of the list, from after `from`; the flag tells whether there is more.
+    pub fn list(&self, from: &str) -> Option<(Vec<Listed>, bool)> {
+        let path = if from.is_empty() {
+            "/hosts?Most=500".to_owned()
+        } else {
+            format!("/hosts?From={from}&Most=500")
+        };
+        let a = self.client.call("GET", &path, NONE, LIMIT).ok()?;
+        if a.status != 200 {
+            return None;
+        }
+        let l: HostList = a.decode()?;
+        let more = l.has_next;
+        let listed = l.hosts.into_iter().filter_map(|h| h.into_listed());
+        Some((listed.collect(), more))
+    }
+}
--- /dev/null
+++ b/src/net/http.rs
@@ -0,0 +1,103 @@
+//! The HTTP client side: one call with its time-outs, MessagePack both ways.
+
+use serde::de::DeserializeOwned;
+use serde::Serialize;
+use std::io::Read;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use super::wire;
+
+/// Answers of the state service's lists and watches are longer than bodies of the protocol's own.
+const ANSWER_LIMIT: u64 = 16 * 1024 * 1024;
+
+#[derive(Debug, thiserror::Error)]
+pub enum CallError {
+    /// Nothing was sent: the request was certainly not executed.
+    #[error("no connection")]
+    NotSent,
+    /// The request may have been executed, or may yet be.
+    #[error("no answer")]
+    NoAnswer,
+}
+
+pub struct Answer {
+    pub status: u16,
+    pub body: Vec<u8>,
+}
+
+impl Answer {
+    pub fn decode<T: DeserializeOwned>(&self) -> Option<T> {
+        wire::decode(&self.body)
+    }
+}
+
+/// A client for one service, with its own pool of connections.
+#[derive(Clone)]
+pub struct Client {
+    agent: ureq::Agent,
+    base: String,
+}
+
+impl Client {
+    pub fn new(address: SocketAddr, connect: Duration, idle: usize) -> Client {
+        Client {
+            agent: agent(connect, idle),
+            base: format!("http://{address}"),
+        }
+    }
+
+    pub fn call<T: Serialize>(
+        &self,
+        method: &str,
+        path: &str,
+        body: Option<&T>,
+        limit: Duration,
+    ) -> Result<Answer, CallError> {
+        let url = format!("{}{path}", self.base);
+        call(&self.agent, method, &url, body, limit)
+    }
+}
+
+pub fn agent(connect: Duration, idle: usize) -> ureq::Agent {
+    ureq::AgentBuilder::new()
+        .timeout_connect(connect)
+        .max_idle_connections(idle * 8)
+        .max_idle_connections_per_host(idle)
+        .redirects(0)
+        .build()
+}
+
+pub fn call<T: Serialize>(
+    agent: &ureq::Agent,
+    method: &str,
+    url: &str,
+    body: Option<&T>,
+    limit: Duration,
+) -> Result<Answer, CallError> {
+    let request = agent.request(method, url).timeout(limit);
+    let result = match body {
+        Some(b) => request
+            .set("Content-Type", "application/msgpack")
+            .send_bytes(&wire::encode(b)),
+        None if method == "POST" => request.send_bytes(&[]),
+        None => request.call(),
+    };
+    let response = match result {
+        Ok(r) | Err(ureq::Error::Status(_, r)) => r,
+        Err(ureq::Error::Transport(t)) => {
+            return Err(match t.kind() {
+                ureq::ErrorKind::ConnectionFailed | ureq::ErrorKind::Dns => CallError::NotSent,
+                _ => CallError::NoAnswer,
+            })
+        }
+    };
+    let status = response.status();
+    let mut body = Vec::new();
+    response
+        .into_reader()
+        .take(ANSWER_LIMIT)
+        .read_to_end(&mut body)
+        .map_err(|_| CallError::NoAnswer)?;
+    Ok(Answer { status, body })
+}
--- /dev/null
+++ b/src/net/mod.rs
@@ -0,0 +1,9 @@
+//! Sockets: one module for each party that the service speaks with.
+
+pub mod agent;
+pub mod cloud;
+pub mod front;
+pub mod http;
+pub mod peer;
+pub mod store;
+pub mod wire;
--- /dev/null
+++ b/src/net/peer.rs
@@ -0,0 +1,121 @@
+//! Frames between the controllers: a length, then `borsh`.
+
+use borsh::{BorshDeserialize, BorshSerialize};
+use std::io::{self, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::Mutex;
+use std::time::Duration;
+
+/// Far above any frame we send; a longer one is not ours.
+const FRAME_LIMIT: u32 = 1024 * 1024;
+const IDLE_KEPT: usize = 4;
+
+#[derive(Clone, Debug, PartialEq, BorshSerialize, BorshDeserialize)]
+pub struct Hello {
+    pub member: String,
+    /// The term that the sender leads in, if it leads.
+    pub leads: Option<u64>,
+    /// The highest term that the sender knows of.
+    pub highest: u64,
+    /// The state service answers the sender.
+    pub store_ok: bool,
+    /// From the leader: jobs whose counts changed (done, running), for display.
+    pub progress: Vec<(String, u32, u32)>,
+    /// From the leader: jobs that are over.
+    pub over: Vec<String>,
+}
+
+#[derive(Clone, Debug, PartialEq, BorshSerialize, BorshDeserialize)]
+pub enum Ask {
+    Hello(Hello),
+    /// A worker's report, as it came.
+    Beat(Vec<u8>),
+}
+
+#[derive(Clone, Debug, PartialEq, BorshSerialize, BorshDeserialize)]
+pub enum Reply {
+    Hello(Hello),
+    Beat { status: u16, body: Vec<u8> },
+}
+
+pub fn write_frame<T: BorshSerialize>(w: &mut impl Write, message: &T) -> io::Result<()> {
+    let body = borsh::to_vec(message)?;
+    let mut frame = Vec::with_capacity(body.len() + 4);
+    frame.extend((body.len() as u32).to_le_bytes());
+    frame.extend(body);
+    w.write_all(&frame)
+}
+
+pub fn read_frame<T: BorshDeserialize>(r: &mut impl Read) -> io::Result<T> {
+    let mut length = [0; 4];
+    r.read_exact(&mut length)?;
+    let length = u32::from_le_bytes(length);
+    if length > FRAME_LIMIT {
+        return Err(io::Error::new(io::ErrorKind::InvalidData, "frame too long"));
+    }
+    let mut body = vec![0; length as usize];
+    r.read_exact(&mut body)?;
+    borsh::from_slice(&body)
+}
+
+/// Connections to one peer.
+pub struct Peer {
+    pub member: String,
+    address: SocketAddr,
+    idle: Mutex<Vec<TcpStream>>,
+}
+
+impl Peer {
+    pub fn new(member: &str, address: SocketAddr) -> Peer {
+        Peer {
+            member: member.to_owned(),
+            address,
+            idle: Mutex::new(Vec::new()),
+        }
+    }
+
+    pub fn ask(&self, ask: &Ask, limit: Duration) -> io::Result<Reply> {
+        let kept = self.idle.lock().ok().and_then(|mut i| i.pop());
+        if let Some(mut s) = kept {
+            // A kept connection may have died with the peer's earlier life. Both questions are safe
+            // to repeat: a report has its serial, and a hello changes nothing the second time.
+            s.set_read_timeout(Some(limit))?;
+            s.set_write_timeout(Some(limit))?;
+            match exchange(&mut s, ask) {
+                Ok(r) => {
+                    self.keep(s);
+                    return Ok(r);
+                }
+                Err(e) if timed_out(&e) => return Err(e),
+                Err(_) => {}
+            }
+        }
+        let mut s = TcpStream::connect_timeout(&self.address, limit.min(Duration::from_secs(1)))?;
+        s.set_nodelay(true)?;
+        s.set_read_timeout(Some(limit))?;
+        s.set_write_timeout(Some(limit))?;
+        let r = exchange(&mut s, ask)?;
+        self.keep(s);
+        Ok(r)
+    }
+
+    fn keep(&self, s: TcpStream) {
+        if let Ok(mut idle) = self.idle.lock() {
+            if idle.len() < IDLE_KEPT {
+                idle.push(s);
+            }
+        }
+    }
+}
+
+fn timed_out(e: &io::Error) -> bool {
+    matches!(
+        e.kind(),
+        io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut
+    )
+}
+
+fn exchange(s: &mut TcpStream, ask: &Ask) -> io::Result<Reply> {
+    write_frame(s, ask)?;
+    read_frame(s)
+}
--- /dev/null
+++ b/src/net/store.rs
@@ -0,0 +1,379 @@
+//! The state service's protocol.
+
+use super::http::{Answer, CallError, Client};
+use super::wire::{self, StoredChunk, StoredHistory, StoredVerdict};
+use crate::core::ledger::{Batch, Op, Value, Verdict};
+use crate::core::model::Uid;
+use crate::runtime::budget::{Bucket, Rank};
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+use std::sync::Arc;
+use std::time::Duration;
+
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum StoreError {
+    /// Not executed: refused, out of budget, or never sent.
+    #[error("the state service is not available")]
+    Unavailable,
+    /// May have been executed, or may yet be.
+    #[error("the state service did not answer")]
+    Unknown,
+    #[error("no such lease")]
+    NoLease,
+    #[error("the watch's revision is too old")]
+    TooOld,
+}
+
+#[derive(Debug, Clone, PartialEq)]
+pub enum Txn {
+    Applied { revision: u64 },
+    Failed { keys: Vec<String> },
+}
+
+pub struct Entry<T> {
+    pub value: T,
+    pub stamp: u64,
+}
+
+#[derive(Serialize)]
+struct Condition<'a> {
+    #[serde(rename = "Path")]
+    path: &'a str,
+    #[serde(rename = "Stamp")]
+    stamp: u64,
+}
+
+#[derive(Serialize)]
+#[serde(untagged)]
+pub enum Change<'a> {
+    Put {
+        #[serde(rename = "Put")]
+        key: &'a str,
+        #[serde(rename = "V")]
+        value: Content,
+        #[serde(rename = "Permit", skip_serializing_if = "Option::is_none")]
+        permit: Option<u64>,
+    },
+    Delete {
+        #[serde(rename = "Delete")]
+        key: &'a str,
+    },
+}
+
+/// A value in its stored form.
+#[derive(Serialize)]
+#[serde(untagged)]
+pub enum Content {
+    Chunk(StoredChunk),
+    Verdict(StoredVerdict),
+    History(StoredHistory),
+    Job(Box<wire::StoredJob>),
+    Leader(wire::StoredLeader),
+    Number(u64),
+    Types(wire::WireTypes),
+}
+
+impl From<&Value> for Content {
+    fn from(v: &Value) -> Self {
+        match v {
+            Value::Chunk(c) => Content::Chunk(c.into()),
+            Value::Verdict(v) => Content::Verdict((*v).into()),
+            Value::History(s) => Content::History(s.into()),
+        }
+    }
+}
+
+#[derive(Serialize)]
+struct TxnRequest<'a> {
+    #[serde(rename = "If")]
+    conditions: Vec<Condition<'a>>,
+    #[serde(rename = "Apply")]
+    apply: Vec<Change<'a>>,
+}
+
+#[derive(Deserialize)]
+struct TxnAnswer {
+    #[serde(rename = "LedgerRev")]
+    revision: Option<u64>,
+    #[serde(default)]
+    failed: Vec<String>,
+}
+
+#[derive(Deserialize)]
+struct GetAnswer<T> {
+    #[serde(rename = "V")]
+    value: T,
+    #[serde(rename = "Stamp")]
+    stamp: u64,
+}
+
+#[derive(Deserialize)]
+struct ListAnswer<T> {
+    #[serde(rename = "Pairs")]
+    pairs: Vec<Pair<T>>,
+    #[serde(rename = "HasNext", default)]
+    more: bool,
+    #[serde(rename = "LedgerRev")]
+    revision: u64,
+}
+
+#[derive(Deserialize)]
+pub struct Pair<T> {
+    #[serde(rename = "Path")]
+    pub path: String,
+    #[serde(rename = "V")]
+    pub value: T,
+    #[serde(rename = "Stamp")]
+    pub stamp: u64,
+}
+
+#[derive(Deserialize)]
+struct Permit {
+    #[serde(rename = "Permit")]
+    permit: u64,
+}
+
+#[derive(Serialize)]
+struct Life {
+    #[serde(rename = "LifeMs")]
+    life_ms: u64,
+}
+
+#[derive(Deserialize)]
+pub struct Changes<T> {
+    #[serde(rename = "LedgerRev")]
+    pub revision: u64,
+    #[serde(rename = "Log", default = "Vec::new")]
+    pub log: Vec<Logged<T>>,
+}
+
+#[derive(Deserialize)]
+pub struct Logged<T> {
+    #[serde(rename = "Put")]
+    pub put: Option<String>,
+    #[serde(rename = "Delete")]
+    pub delete: Option<String>,
+    #[serde(rename = "V")]
+    pub value: Option<T>,
+    #[serde(rename = "Stamp")]
+    pub stamp: Option<u64>,
+}
+
+const NONE: Option<&()> = None;
+
+#[derive(Clone)]
+pub struct Store {
+    client: Client,
+    reads: Arc<Bucket>,
+    writes: Arc<Bucket>,
+}
+
+fn sent(r: Result<Answer, CallError>) -> Result<Answer, StoreError> {
+    match r {
+        Ok(a) if a.status == 429 || a.status == 503 => Err(StoreError::Unavailable),
+        Ok(a) => Ok(a),
+        Err(CallError::NotSent) => Err(StoreError::Unavailable),
+        Err(CallError::NoAnswer) => Err(StoreError::Unknown),
+    }
+}
+
+impl Store {
+    pub fn new(client: Client, reads: Arc<Bucket>, writes: Arc<Bucket>) -> Store {
+        Store {
+            client,
+            reads,
+            writes,
+        }
+    }
+
+    fn leave(&self, rank: Rank, writes: usize) -> Result<(), StoreError> {
+        if !self.reads.take(1.0, rank) {
+            return Err(StoreError::Unavailable);
+        }
+        if writes > 0 && !self.writes.take(writes as f64, rank) {
+            return Err(StoreError::Unavailable);
+        }
+        Ok(())
+    }
+
+    pub fn get<T: DeserializeOwned>(
+        &self,
+        key: &str,
+        rank: Rank,
+        limit: Duration,
+    ) -> Result<Option<Entry<T>>, StoreError> {
+        self.leave(rank, 0)?;
+        let a = sent(
+            self.client
+                .call("GET", &format!("/store/{key}"), NONE, limit),
+        )?;
+        match a.status {
+            200 => {
+                let g: GetAnswer<T> = a.decode().ok_or(StoreError::Unavailable)?;
+                Ok(Some(Entry {
+                    value: g.value,
+                    stamp: g.stamp,
+                }))
+            }
+            404 => Ok(None),
+            _ => Err(StoreError::Unavailable),
+        }
+    }
+
+    /// All keys under a prefix, and the revision from which a watch misses nothing.
+    pub fn list<T: DeserializeOwned>(
+        &self,
+        prefix: &str,
+        rank: Rank,
+        limit: Duration,
+    ) -> Result<(Vec<Pair<T>>, u64), StoreError> {
+        let mut all: Vec<Pair<T>> = Vec::new();
+        let mut revision = None;
+        loop {
+            self.leave(rank, 0)?;
+            let mut path = format!("/store?Under={prefix}&Most=1000");
+            if let Some(last) = all.last() {
+                path.push_str(&format!("&From={}", last.path));
+            }
+            let a = sent(self.client.call("GET", &path, NONE, limit))?;
+            if a.status != 200 {
+                return Err(StoreError::Unavailable);
+            }
+            let page: ListAnswer<T> = a.decode().ok_or(StoreError::Unavailable)?;
+            let first = *revision.get_or_insert(page.revision);
+            let empty = page.pairs.is_empty();
+            all.extend(page.pairs);
+            if !page.more || empty {
+                return Ok((all, first));
+            }
+        }
+    }
+
+    pub fn txn(
+        &self,
+        conditions: &[(String, u64)],
+        changes: Vec<Change<'_>>,
+        rank: Rank,
+        limit: Duration,
+    ) -> Result<Txn, StoreError> {
+        self.leave(rank, changes.len())?;
+        let request = TxnRequest {
+            conditions: conditions
+                .iter()
+                .map(|(path, stamp)| Condition {
+                    path,
+                    stamp: *stamp,
+                })
+                .collect(),
+            apply: changes,
+        };
+        let a = sent(self.client.call("POST", "/txn", Some(&request), limit))?;
+        match a.status {
+            200 => {
+                let t: TxnAnswer = a.decode().ok_or(StoreError::Unknown)?;
+                t.revision
+                    .map(|revision| Txn::Applied { revision })
+                    .ok_or(StoreError::Unknown)
+            }
+            409 => {
+                let t: TxnAnswer = a.decode().ok_or(StoreError::Unavailable)?;
+                Ok(Txn::Failed { keys: t.failed })
+            }
+            400 => {
+                log::warn!(
+                    "the state service refused a transaction answer={:?}",
+                    String::from_utf8_lossy(&a.body)
+                );
+                Err(StoreError::NoLease)
+            }
+            _ => Err(StoreError::Unknown),
+        }
+    }
+
+    pub fn apply(&self, batch: &Batch, limit: Duration) -> Result<Txn, StoreError> {
+        let changes = batch
+            .ops
+            .iter()
+            .map(|op| match op {
+                Op::Put(key, v) => Change::Put {
+                    key,
+                    value: v.into(),
+                    permit: None,
+                },
+                Op::Delete(key) => Change::Delete { key },
+            })
+            .collect();
+        self.txn(&batch.conditions, changes, Rank::Leader, limit)
+    }
+
+    pub fn lease(&self, life: Duration, limit: Duration) -> Result<u64, StoreError> {
+        self.leave(Rank::Leader, 0)?;
+        let body = Life {
+            life_ms: life.as_millis() as u64,
+        };
+        let a = sent(self.client.call("POST", "/leases", Some(&body), limit))?;
+        match a.status {
+            200 | 201 => a
+                .decode::<Permit>()
+                .map(|p| p.permit)
+                .ok_or(StoreError::Unknown),
+            _ => Err(StoreError::Unavailable),
+        }
+    }
+
+    pub fn extend(&self, permit: u64, limit: Duration) -> Result<(), StoreError> {
+        self.leave(Rank::Leader, 0)?;
+        let path = format!("/leases/{permit}/extend");
+        let a = sent(self.client.call("POST", &path, NONE, limit))?;
+        match a.status {
+            200 => Ok(()),
+            404 => Err(StoreError::NoLease),
+            _ => Err(StoreError::Unavailable),
+        }
+    }
+
+    pub fn drop_lease(&self, permit: u64, limit: Duration) -> Result<(), StoreError> {
+        self.leave(Rank::Leader, 0)?;
+        sent(
+            self.client
+                .call("DELETE", &format!("/leases/{permit}"), NONE, limit),
+        )
+        .map(|_| ())
+    }
+
+    pub fn follow<T: DeserializeOwned>(
+        &self,
+        prefix: &str,
+        from: u64,
+        block: Duration,
+    ) -> Result<Changes<T>, StoreError> {
+        self.leave(Rank::Leader, 0)?;
+        let path = format!(
+            "/follow?Under={prefix}&From={from}&BlockMs={}",
+            block.as_millis()
+        );
+        let limit = block + Duration::from_secs(3);
+        let a = sent(self.client.call("GET", &path, NONE, limit))?;
+        match a.status {
+            200 => a.decode().ok_or(StoreError::Unavailable),
+            410 => Err(StoreError::TooOld),
+            _ => Err(StoreError::Unavailable),
+        }
+    }
+
+    pub fn verdict(
+        &self,
+        uid: &Uid,
+        limit: Duration,
+    ) -> Result<Option<(Verdict, u64)>, StoreError> {
+        let key = crate::core::ledger::job_key(uid);
+        let e = self.get::<StoredVerdict>(&key, Rank::User, limit)?;
+        match e {
+            None => Ok(None),
+            Some(e) => match e.value.verdict() {
+                Some(v) => Ok(Some((v, e.stamp))),
+                None => Err(StoreError::Unavailable),
+            },
+        }
+    }
+}
--- /dev/null
+++ b/src/runtime/elector.rs
@@ -0,0 +1,334 @@
+//! Long-lived duties round leadership: watching the control keys, campaigning, renewing, loading.
+
+use super::duties::{feed, Event};
+use super::service::Shared;
+use super::stop::Stop;
+use super::view::RoleView;
+use crate::core::cluster::Cluster;
+use crate::core::history::Summary;
+use crate::core::leadership::{LeaderRecord, Leadership, Role, Step};
+use crate::core::ledger::{self, CONTROL_PREFIX, LEADER_KEY, TERM_KEY, TYPES_KEY};
+use crate::core::model::{Term, Uid};
+use crate::net::store::{Change, Content, StoreError, Txn};
+use crate::net::wire::{StoredChunk, StoredHistory, StoredJob, StoredLeader, WireTypes};
+use crate::runtime::budget::Rank;
+use crossbeam::channel::{Receiver, Sender};
+use rand::Rng;
+use serde::de::IgnoredAny;
+use serde::Deserialize;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+const CALL: Duration = Duration::from_millis(1500);
+const WATCH_BLOCK: Duration = Duration::from_secs(5);
+
+/// What the elector hears.
+pub enum Sign {
+    Leader(Option<LeaderRecord>),
+    Term(Term),
+}
+
+#[derive(Deserialize)]
+#[serde(untagged)]
+enum Control {
+    Leader(StoredLeader),
+    Types(WireTypes),
+    Other(IgnoredAny),
+}
+
+fn record(l: StoredLeader, stamp: u64) -> LeaderRecord {
+    LeaderRecord {
+        member: l.member,
+        boot: l.boot,
+        term: Term(l.term),
+        stamp,
+    }
+}
+
+fn take_types(shared: &Shared, t: &WireTypes) {
+    let types: Vec<_> = t.host_types.iter().filter_map(|t| t.to_type()).collect();
+    if !types.is_empty() {
+        shared.view.write().types = types;
+    }
+}
+
+/// Follows the control keys: the leader and the machine types.
+pub fn watch_control(shared: &Shared, signs: &Sender<Sign>) {
+    while !shared.stop.stopped() {
+        if let Err(e) = watch_until_trouble(shared, signs) {
+            log::debug!("watch of the control keys ended why=\"{e}\"");
+            shared
+                .view
+                .store_answered(e == StoreError::TooOld, Instant::now());
+        }
+        let pause = rand::thread_rng().gen_range(300..600);
+        shared.stop.wait(Duration::from_millis(pause));
+    }
+}
+
+fn watch_until_trouble(shared: &Shared, signs: &Sender<Sign>) -> Result<(), StoreError> {
+    let (pairs, mut revision) =
+        shared
+            .store
+            .list::<Control>(CONTROL_PREFIX, Rank::Leader, CALL)?;
+    shared.view.store_answered(true, Instant::now());
+    let mut leader = None;
+    for p in pairs {
+        match p.value {
+            Control::Leader(l) if p.path == LEADER_KEY => leader = Some(record(l, p.stamp)),
+            Control::Types(t) if p.path == TYPES_KEY => take_types(shared, &t),
+            _ => {}
+        }
+    }
+    let _ = signs.send(Sign::Leader(leader));
+    while !shared.stop.stopped() {
+        let changes = shared
+            .store
+            .follow::<Control>(CONTROL_PREFIX, revision, WATCH_BLOCK)?;
+        shared.view.store_answered(true, Instant::now());
+        revision = changes.revision.max(revision);
+        for c in changes.log {
+            if c.delete.as_deref() == Some(LEADER_KEY) {
+                let _ = signs.send(Sign::Leader(None));
+            }
+            match (c.put.as_deref(), c.value, c.stamp) {
+                (Some(LEADER_KEY), Some(Control::Leader(l)), Some(stamp)) => {
+                    let _ = signs.send(Sign::Leader(Some(record(l, stamp))));
+                }
+                (Some(TYPES_KEY), Some(Control::Types(t)), _) => take_types(shared, &t),
+                _ => {}
+            }
+        }
+    }
+    Ok(())
+}
+
+/// Campaigns and renews; starts and stops what a term needs.
+pub fn elect(shared: &Arc<Shared>, signs: &Receiver<Sign>) {
+    let life = shared.settings.operations.leader_lease;
+    let boot: u64 = rand::thread_rng().gen::<u64>() >> 1;
+    let mut machine = Leadership::new(&shared.settings.member, boot, life / 4);
+    let mut permit = None;
+    let mut term_stop = Stop::new();
+    let mut heard = false;
+    while !shared.stop.stopped() {
+        let mut step = match signs.recv_timeout(Duration::from_millis(250)) {
+            Ok(Sign::Leader(r)) => {
+                heard = true;
+                machine.observed(Instant::now(), r)
+            }
+            Ok(Sign::Term(t)) => machine.term_seen(t),
+            Err(_) => machine.due(Instant::now()),
+        };
+        // Before the first look at the leader key its absence means nothing.
+        if !heard && matches!(step, Step::Campaign { .. }) {
+            step = Step::Wait;
+        }
+        match step {
+            Step::Wait => {}
+            Step::Renew => {
+                let asked = Instant::now();
+                match permit.map(|p| shared.store.extend(p, life / 4)) {
+                    Some(Ok(())) => {
+                        shared.view.store_answered(true, Instant::now());
+                        machine.renewed(asked)
+                    }
+                    Some(Err(StoreError::NoLease)) | None => {
+                        log::warn!("the leader lease has ended");
+                        machine.lease_ended();
+                        term_stop.stop();
+                        permit = None;
+                        shared.step_down();
+                        publish(shared, &machine);
+                    }
+                    // The state service may be out for everyone: then the lease lives on.
+                    Some(Err(e)) => {
+                        shared.view.store_answered(false, Instant::now());
+                        log::info!("lease not renewed why=\"{e}\"");
+                    }
+                }
+            }
+            Step::StepDown => {
+                log::info!("stepping down");
+                term_stop.stop();
+                permit = None;
+                shared.step_down();
+                publish(shared, &machine);
+            }
+            Step::Campaign { stamp } => match campaign(shared, boot, stamp) {
+                Ok(Some((term, leader_stamp, lease))) => {
+                    let now = Instant::now();
+                    machine.won(now, term, leader_stamp);
+                    permit = Some(lease);
+                    term_stop = Stop::new();
+                    log::info!("leading term={}", term.0);
+                    publish(shared, &machine);
+                    let (s, stop) = (shared.clone(), term_stop.clone());
+                    let spawned = std::thread::Builder::new()
+                        .name("term".into())
+                        .spawn(move || serve_term(&s, term, leader_stamp, &stop));
+                    if spawned.is_err() {
+                        log::error!("no thread for the term");
+                    }
+                }
+                Ok(None) => {
+                    let pause = rand::thread_rng().gen_range(100..400);
+                    machine.lost(Instant::now(), Duration::from_millis(pause));
+                    look_again(shared, &mut machine);
+                }
+                Err(e) => {
+                    log::info!("campaign failed why=\"{e}\"");
+                    shared.view.store_answered(false, Instant::now());
+                    let pause = rand::thread_rng().gen_range(300..800);
+                    machine.lost(Instant::now(), Duration::from_millis(pause));
+                    look_again(shared, &mut machine);
+                }
+            },
+        }
+        publish(shared, &machine);
+    }
+    term_stop.stop();
+    if let Some(p) = permit {
+        let _ = shared.store.drop_lease(p, CALL);
+    }
+}
+
+fn look_again(shared: &Shared, machine: &mut Leadership) {
+    if let Ok(found) = shared
+        .store
+        .get::<StoredLeader>(LEADER_KEY, Rank::Leader, CALL)
+    {
+        machine.observed(Instant::now(), found.map(|e| record(e.value, e.stamp)));
+    }
+}
+
+fn publish(shared: &Shared, machine: &Leadership) {
+    let (role, leader) = match machine.role() {
+        Role::Leader { term, .. } => (RoleView::Leader(*term), None),
+        Role::Follower { leader } => (
+            RoleView::Follower(leader.as_ref().map(|l| l.member.clone())),
+            leader.clone(),
+        ),
+    };
+    let i = shared.view.read();
+    if i.role == role && i.highest == machine.highest() {
+        return;
+    }
+    drop(i);
+    let mut i = shared.view.write();
+    i.role = role;
+    i.leader = leader;
+    i.highest = i.highest.max(machine.highest());
+}
+
+/// One transaction: the leader key on a new lease, and the term's counter raised.
+fn campaign(
+    shared: &Shared,
+    boot: u64,
+    stamp: u64,
+) -> Result<Option<(Term, u64, u64)>, StoreError> {
+    let counter = shared.store.get::<u64>(TERM_KEY, Rank::Leader, CALL)?;
+    let (old, term_stamp) = counter.map_or((0, 0), |e| (e.value, e.stamp));
+    let lease = shared
+        .store
+        .lease(shared.settings.operations.leader_lease, CALL)?;
+    let term = old + 1;
+    let conditions = [
+        (LEADER_KEY.to_owned(), stamp),
+        (TERM_KEY.to_owned(), term_stamp),
+    ];
+    let changes = vec![
+        Change::Put {
+            key: LEADER_KEY,
+            value: Content::Leader(StoredLeader {
+                member: shared.settings.member.clone(),
+                boot,
+                term,
+            }),
+            permit: Some(lease),
+        },
+        Change::Put {
+            key: TERM_KEY,
+            value: Content::Number(term),
+            permit: None,
+        },
+    ];
+    match shared.store.txn(&conditions, changes, Rank::Leader, CALL) {
+        Ok(Txn::Applied { revision }) => Ok(Some((Term(term), revision, lease))),
+        Ok(Txn::Failed { .. }) => {
+            let _ = shared.store.drop_lease(lease, CALL);
+            Ok(None)
+        }
+        Err(StoreError::Unknown) => {
+            // It may have been applied: the key tells. If it is applied later, the lease that
+            // nobody renews ends that leadership by itself.
+            let found = shared
+                .store
+                .get::<StoredLeader>(LEADER_KEY, Rank::Leader, CALL)?;
+            Ok(found
+                .filter(|e| e.value.boot == boot && e.value.term == term)
+                .map(|e| (Term(term), e.stamp, lease)))
+        }
+        Err(e) => Err(e),
+    }
+}
+
+/// Loads the picture, hands it to the core, then feeds it the queue's changes.
+fn serve_term(shared: &Arc<Shared>, term: Term, stamp: u64, stop: &Stop) {
+    loop {
+        if stop.stopped() {
+            return;
+        }
+        match load(shared, term, stamp) {
+            Ok((cluster, revision)) => {
+                let event = Event::Lead(Box::new(cluster));
+                if shared.events.send(event).is_ok() {
+                    feed(shared, term, revision, stop);
+                }
+                return;
+            }
+            Err(e) => {
+                log::info!("loading failed term={} why=\"{e}\"", term.0);
+                stop.wait(Duration::from_millis(400));
+            }
+        }
+    }
+}
+
+fn load(shared: &Shared, term: Term, stamp: u64) -> Result<(Cluster, u64), StoreError> {
+    let limit = Duration::from_secs(4);
+    let rank = Rank::Leader;
+    let store = &shared.store;
+    let (live, revision) = store.list::<StoredJob>(ledger::LIVE_PREFIX, rank, limit)?;
+    let (withdrawn, _) = store.list::<IgnoredAny>(ledger::WITHDRAWN_PREFIX, rank, limit)?;
+    let (intents, _) = store.list::<StoredChunk>(ledger::INTENT_PREFIX, rank, limit)?;
+    let history = store.get::<StoredHistory>(ledger::HISTORY_KEY, rank, limit)?;
+    let now = Instant::now();
+    let types = shared.view.read().types.clone();
+    let mut c = Cluster::new(shared.settings.params.clone(), term, stamp, types, now);
+    if let Some(h) = history {
+        c.history.load(&Summary::from(h.value));
+    }
+    let (jobs, chunks) = (live.len(), intents.len());
+    for p in live {
+        if let Some(spec) = p.value.into_spec() {
+            c.on_job(spec, p.stamp);
+        }
+    }
+    for p in intents {
+        if let Some((uid, index)) = ledger::parse_chunk_key(&p.path) {
+            c.load_chunk(now, &uid, index, p.value.into_value(), p.stamp);
+        }
+    }
+    for p in withdrawn {
+        if let Some(uid) = p
+            .path
+            .strip_prefix(ledger::WITHDRAWN_PREFIX)
+            .and_then(Uid::parse)
+        {
+            c.on_withdrawn(now, &uid);
+        }
+    }
+    log::info!("loaded term={} jobs={jobs} intent_keys={chunks}", term.0);
+    Ok((c, revision))
+}
--- /dev/null
+++ b/src/settings.rs
@@ -0,0 +1,368 @@
+//! Settings: the platform's TOML, and the operators' own S-expressions.
+//!
+//! Of the platform's file, unknown fields are ignored and missing or absurd ones refused. Of the
+//! operators' file, everything unknown is refused, with its name and line.
+
+use crate::core::model::{Objective, Params, Site, Team, TeamName, Tuning};
+use serde::Deserialize;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+#[derive(Debug, thiserror::Error)]
+pub enum SettingsError {
+    #[error("cannot read {path}: {source}")]
+    Read {
+        path: String,
+        source: std::io::Error,
+    },
+    #[error("{path}: {source}")]
+    Toml {
+        path: String,
+        source: Box<toml::de::Error>,
+    },
+    #[error("{path}: {field}: {problem}")]
+    Field {
+        path: String,
+        field: String,
+        problem: String,
+    },
+    #[error("{path}: line {line}: {problem}")]
+    Lisp {
+        path: String,
+        line: usize,
+        problem: String,
+    },
+}
+
+#[derive(Clone, Debug)]
+pub struct Seed {
+    pub member: String,
+    pub address: SocketAddr,
+}
+
+#[derive(Clone, Debug)]
+pub struct Quota {
+    pub sockets: usize,
+}
+
+/// Operators' settings outside the core.
+#[derive(Clone, Debug)]
+pub struct Operations {
+    pub leader_lease: Duration,
+    pub handlers: usize,
+    pub agents: usize,
+    pub metrics_every: Duration,
+}
+
+impl Default for Operations {
+    fn default() -> Self {
+        Operations {
+            leader_lease: Duration::from_millis(5000),
+            handlers: 8,
+            agents: 4,
+            metrics_every: Duration::from_secs(60),
+        }
+    }
+}
+
+#[derive(Clone, Debug)]
+pub struct Settings {
+    pub member: String,
+    pub site: Site,
+    pub front: SocketAddr,
+    pub peer_bind: SocketAddr,
+    pub seeds: Vec<Seed>,
+    pub cloud: SocketAddr,
+    pub state: SocketAddr,
+    pub nodes: usize,
+    pub params: Params,
+    pub state_rps: f64,
+    pub state_write_rps: f64,
+    pub cloud_rps: f64,
+    pub quota: Quota,
+    pub operations: Operations,
+}
+
+#[derive(Deserialize)]
+struct File {
+    member: String,
+    domain: String,
+    front: String,
+    peer_bind: String,
+    #[serde(default)]
+    seeds: Vec<FileSeed>,
+    endpoints: Endpoints,
+    deployment: Deployment,
+}
+
+#[derive(Deserialize)]
+struct FileSeed {
+    member: String,
+    address: String,
+}
+
+#[derive(Deserialize)]
+struct Endpoints {
+    cloud: String,
+    state: String,
+}
+
+#[derive(Deserialize)]
+struct Deployment {
+    count: usize,
+    teams: Vec<FileTeam>,
+    #[serde(default)]
+    objectives: Vec<FileObjective>,
+    workers: Workers,
+    state: State,
+    cloud: Cloud,
+    quota: FileQuota,
+}
+
+#[derive(Deserialize)]
+struct FileTeam {
+    name: String,
+    #[serde(default)]
+    cpus: f64,
+    #[serde(default)]
+    cpus_max: f64,
+    #[serde(default)]
+    gpus: f64,
+    #[serde(default)]
+    gpus_max: f64,
+}
+
+#[derive(Deserialize)]
+struct FileObjective {
+    kind: String,
+    class: Option<String>,
+    within_s: Option<f64>,
+}
+
+#[derive(Deserialize)]
+struct Workers {
+    report_s: f64,
+    lease_s: f64,
+    gang_wait_s: f64,
+    gang_peer_s: f64,
+    cancel_s: f64,
+}
+
+#[derive(Deserialize)]
+struct State {
+    rps: f64,
+    write_rps: f64,
+    value_kb: f64,
+    txn_ops: usize,
+}
+
+#[derive(Deserialize)]
+struct Cloud {
+    rps: f64,
+    list_lag_s: f64,
+}
+
+#[derive(Deserialize)]
+struct FileQuota {
+    max_sockets: usize,
+}
+
+impl Settings {
+    pub fn load(path: &Path) -> Result<Settings, SettingsError> {
+        let text = read(path)?;
+        Settings::parse(&path.display().to_string(), &text)
+    }
+
+    pub fn parse(path: &str, text: &str) -> Result<Settings, SettingsError> {
+        let f: File = toml::from_str(text).map_err(|e| SettingsError::Toml {
+            path: path.to_owned(),
+            source: Box::new(e),
+        })?;
+        let bad = |field: &str, problem: &str| SettingsError::Field {
+            path: path.to_owned(),
+            field: field.to_owned(),
+            problem: problem.to_owned(),
+        };
+        let address = |field: &str, s: &str| {
+            s.parse::<SocketAddr>()
+                .map_err(|_| bad(field, &format!("'{s}' is not an address and port")))
+        };
+        let positive = |field: &str, x: f64, most: f64| {
+            if x.is_finite() && x > 0.0 && x <= most {
+                Ok(x)
+            } else {
+                Err(bad(
+                    field,
+                    &format!("{x} is not above 0 and at most {most}"),
+                ))
+            }
+        };
+        let seconds =
+            |field: &str, x: f64| positive(field, x, 86_400.0).map(Duration::from_secs_f64);
+        if f.member.is_empty() {
+            return Err(bad("member", "is empty"));
+        }
+        let d = &f.deployment;
+        if d.count == 0 || d.count > 1000 {
+            return Err(bad("deployment.count", "must be from 1 to 1000"));
+        }
+        if d.state.txn_ops < 4 {
+            return Err(bad("deployment.state.txn_ops", "must be at least 4"));
+        }
+        if d.quota.max_sockets < 32 {
+            return Err(bad("deployment.quota.max_sockets", "must be at least 32"));
+        }
+        let mut teams = Vec::new();
+        for t in &d.teams {
+            let amount = |field: &str, x: f64| {
+                if x.is_finite() && x >= 0.0 {
+                    Ok((x > 0.0).then_some(x))
+                } else {
+                    Err(bad(
+                        &format!("deployment.teams.{field} of {}", t.name),
+                        &format!("{x} is not an amount"),
+                    ))
+                }
+            };
+            teams.push(Team {
+                name: TeamName(t.name.clone()),
+                cpus: amount("cpus", t.cpus)?,
+                cpus_max: amount("cpus_max", t.cpus_max)?,
+                gpus: amount("gpus", t.gpus)?,
+                gpus_max: amount("gpus_max", t.gpus_max)?,
+            });
+        }
+        let mut seeds = Vec::new();
+        for s in &f.seeds {
+            seeds.push(Seed {
+                member: s.member.clone(),
+                address: address(&format!("seeds address of {}", s.member), &s.address)?,
+            });
+        }
+        let objectives = d
+            .objectives
+            .iter()
+            .map(|o| Objective {
+                kind: o.kind.clone(),
+                class: o.class.clone(),
+                within: o
+                    .within_s
+                    .filter(|s| s.is_finite() && *s >= 0.0 && *s < 1e6)
+                    .map(Duration::from_secs_f64),
+            })
+            .collect();
+        let w = &d.workers;
+        Ok(Settings {
+            member: f.member,
+            site: Site(f.domain),
+            front: address("front", &f.front)?,
+            peer_bind: address("peer_bind", &f.peer_bind)?,
+            seeds,
+            cloud: address("endpoints.cloud", &f.endpoints.cloud)?,
+            state: address("endpoints.state", &f.endpoints.state)?,
+            nodes: d.count,
+            state_rps: positive("deployment.state.rps", d.state.rps, 1e9)?,
+            state_write_rps: positive("deployment.state.write_rps", d.state.write_rps, 1e9)?,
+            cloud_rps: positive("deployment.cloud.rps", d.cloud.rps, 1e9)?,
+            quota: Quota {
+                sockets: d.quota.max_sockets,
+            },
+            operations: Operations::default(),
+            params: Params {
+                teams,
+                objectives,
+                report: seconds("deployment.workers.report_s", w.report_s)?,
+                lease: seconds("deployment.workers.lease_s", w.lease_s)?,
+                gang_wait: seconds("deployment.workers.gang_wait_s", w.gang_wait_s)?,
+                gang_peer: seconds("deployment.workers.gang_peer_s", w.gang_peer_s)?,
+                cancel: seconds("deployment.workers.cancel_s", w.cancel_s)?,
+                txn_ops: d.state.txn_ops,
+                value_bytes: (positive("deployment.state.value_kb", d.state.value_kb, 1e6)?
+                    * 1024.0) as usize,
+                list_lag: seconds("deployment.cloud.list_lag_s", d.cloud.list_lag_s)?,
+                tuning: Tuning::default(),
+            },
+        })
+    }
+
+    /// Reads the operators' file over the built-in values.
+    pub fn load_operators(&mut self, path: &Path) -> Result<(), SettingsError> {
+        let text = read(path)?;
+        self.parse_operators(&path.display().to_string(), &text)
+    }
+
+    pub fn parse_operators(&mut self, path: &str, text: &str) -> Result<(), SettingsError> {
+        let fail = |line: usize, problem: String| SettingsError::Lisp {
+            path: path.to_owned(),
+            line,
+            problem,
+        };
+        let root = lexpr::datum::from_str(text).map_err(|e| {
+            fail(
+                e.location().map_or(1, |l| l.line()),
+                format!("not an S-expression: {e}"),
+            )
+        })?;
+        let mut items = root
+            .list_iter()
+            .ok_or_else(|| fail(1, "expected (cypressgap (NAME VALUE) ...)".into()))?;
+        let head = items.next();
+        if head.as_ref().and_then(|h| h.value().as_symbol()) != Some("cypressgap") {
+            return Err(fail(1, "expected (cypressgap (NAME VALUE) ...)".into()));
+        }
+        for item in items {
+            let line = item.span().start().line();
+            let pair: Vec<lexpr::Value> = item
+                .list_iter()
+                .map(|l| l.map(|r| r.value().clone()).collect())
+                .unwrap_or_default();
+            let [name, value] = pair.as_slice() else {
+                return Err(fail(line, "expected (NAME VALUE)".into()));
+            };
+            let Some(name) = name.as_symbol() else {
+                return Err(fail(line, "the name must be a symbol".into()));
+            };
+            let Some(x) = value.as_f64() else {
+                return Err(fail(line, format!("{name}: the value must be a number")));
+            };
+            self.set(name, x).map_err(|p| fail(line, p))?;
+        }
+        Ok(())
+    }
+
+    fn set(&mut self, name: &str, x: f64) -> Result<(), String> {
+        let within = |low: f64, high: f64| {
+            if x >= low && x <= high {
+                Ok(x)
+            } else {
+                Err(format!("{name}: {x} is not from {low} to {high}"))
+            }
+        };
+        let seconds = |low: f64, high: f64| within(low, high).map(Duration::from_secs_f64);
+        let t = &mut self.params.tuning;
+        let o = &mut self.operations;
+        match name {
+            "summary-every-s" => t.summary_every = seconds(1.0, 3600.0)?,
+            "silent-share" => t.silent_share = within(0.2, 2.0)?,
+            "idle-spot-s" => t.idle_spot = seconds(0.0, 86_400.0)?,
+            "idle-ordinary-s" => t.idle_ordinary = seconds(0.0, 86_400.0)?,
+            "max-live-jobs" => t.max_live_jobs = within(1.0, 1e6)? as usize,
+            "headroom-jobs" => t.headroom_jobs = within(0.0, 100.0)?,
+            "max-hosts" => t.max_hosts = within(1.0, 1e5)? as usize,
+            "leader-lease-s" => o.leader_lease = seconds(1.0, 600.0)?,
+            "handlers" => o.handlers = within(2.0, 256.0)? as usize,
+            "agents" => o.agents = within(1.0, 64.0)? as usize,
+            "metrics-every-s" => o.metrics_every = seconds(1.0, 86_400.0)?,
+            _ => return Err(format!("unknown setting '{name}'")),
+        }
+        Ok(())
+    }
+}
+
+fn read(path: &Path) -> Result<String, SettingsError> {
+    std::fs::read_to_string(path).map_err(|source| SettingsError::Read {
+        path: path.display().to_string(),
+        source,
+    })
+}
