--- a/src/core/capacity.rs
+++ b/src/core/capacity.rs
@@ -81,7 +81,9 @@
     // --- renting ---
 
     fn rent(&mut self, now: Instant, waiting: &[Waiting]) {
-        if self.types.is_empty() || now.saturating_duration_since(self.started) < self.params.report * 2 {
+        if self.types.is_empty()
+            || now.saturating_duration_since(self.started) < self.params.report * 2
+        {
             return;
         }
         let mut plan: Vec<Imagined> = Vec::new();
@@ -110,7 +112,8 @@
             let spec = &job.spec;
             let site_of = |h: &HostId| self.hosts.get(h).map(|h| h.site.clone());
             let worth = |t: &HostType| {
-                w.wait.is_none_or(|wait| wait > self.capacity.boot_time(t).mul_f64(0.8))
+                w.wait
+                    .is_none_or(|wait| wait > self.capacity.boot_time(t).mul_f64(0.8))
             };
             let fits_open = plan.iter_mut().find(|m| {
                 let o = &m.offer;
@@ -131,11 +134,15 @@
                 for site in &t.sites {
                     for spot in [true, false] {
                         let offer = (t.name.clone(), site.clone(), spot);
-                        if !permits(job, &site_of, &t.name, site, spot) || self.is_refused(now, &offer) {
+                        if !permits(job, &site_of, &t.name, site, spot)
+                            || self.is_refused(now, &offer)
+                        {
                             continue;
                         }
-                        let crowd = self.site_crowd(site) + plan.iter().filter(|m| &m.offer.1 == site).count();
-                        let cost = t.price(spot) / slots.min(left) as f64 * (1.0 + 0.001 * crowd as f64);
+                        let crowd = self.site_crowd(site)
+                            + plan.iter().filter(|m| &m.offer.1 == site).count();
+                        let cost =
+                            t.price(spot) / slots.min(left) as f64 * (1.0 + 0.001 * crowd as f64);
                         if best.as_ref().is_none_or(|b| cost < b.0) {
                             best = Some((cost, offer, t.room));
                         }
@@ -157,7 +164,11 @@
             }
         }
         let mut counts: BTreeMap<Offer, u32> = BTreeMap::new();
-        for m in plan.iter().skip(under_way).filter(|m| m.tasks > 0 && m.room != Need::default()) {
+        for m in plan
+            .iter()
+            .skip(under_way)
+            .filter(|m| m.tasks > 0 && m.room != Need::default())
+        {
             *counts.entry(m.offer.clone()).or_default() += 1;
         }
         for (offer, n) in counts {
@@ -185,7 +196,12 @@
         self.capacity.claims += 1;
         // The term makes a claim unique among all nodes and lives.
         let claim = format!("t{}-{}", self.term.0, self.capacity.claims);
-        log::info!("renting claim={claim} type={} site={} spot={} number={number}", offer.0, offer.1, offer.2);
+        log::info!(
+            "renting claim={claim} type={} site={} spot={} number={number}",
+            offer.0,
+            offer.1,
+            offer.2
+        );
         self.capacity.rentals.insert(
             claim,
             Rental {
@@ -268,7 +284,14 @@
             }
             let h = self.hosts.entry(l.id.clone()).or_insert_with(|| {
                 log::info!("adopting listed host={} phase={:?}", l.id, l.phase);
-                let mut h = Host::new(l.id.clone(), l.host_type.clone(), l.site.clone(), l.spot, term, now);
+                let mut h = Host::new(
+                    l.id.clone(),
+                    l.host_type.clone(),
+                    l.site.clone(),
+                    l.spot,
+                    term,
+                    now,
+                );
                 if l.phase == ListedPhase::Booting {
                     h.booting = now.checked_sub(l.age).or(Some(now));
                 }
@@ -316,7 +339,9 @@
             let t = self.host_type(&h.host_type);
             if let Some(since) = h.booting {
                 let boot = t.map_or(Duration::from_secs(60), |t| t.boot);
-                if now.saturating_duration_since(since) > boot.mul_f64(4.0) + Duration::from_secs(30) {
+                if now.saturating_duration_since(since)
+                    > boot.mul_f64(4.0) + Duration::from_secs(30)
+                {
                     leaving.push((h.id.clone(), "never came up"));
                 }
                 continue;
@@ -325,10 +350,17 @@
                 leaving.push((h.id.clone(), "sick"));
             } else if h.eviction.is_some() && h.placed.is_empty() {
                 leaving.push((h.id.clone(), "to be taken"));
-            } else if silent(h) && !ours && (h.reported || now.saturating_duration_since(h.known_since) > p.lease) {
+            } else if silent(h)
+                && !ours
+                && (h.reported || now.saturating_duration_since(h.known_since) > p.lease)
+            {
                 leaving.push((h.id.clone(), "silent"));
             } else if let (Some(since), Some(t)) = (h.idle_since, t) {
-                let keep = if h.spot { p.tuning.idle_spot } else { p.tuning.idle_ordinary };
+                let keep = if h.spot {
+                    p.tuning.idle_spot
+                } else {
+                    p.tuning.idle_ordinary
+                };
                 let idle = now.saturating_duration_since(since) > keep;
                 if h.reported && h.placed.is_empty() && idle {
                     let cpus = t.room.cpus;
@@ -348,7 +380,11 @@
         let due: Vec<HostId> = self
             .hosts
             .values()
-            .filter(|h| h.returning && h.return_sent.is_none_or(|t| now.saturating_duration_since(t) > Duration::from_secs(20)))
+            .filter(|h| {
+                h.returning
+                    && h.return_sent
+                        .is_none_or(|t| now.saturating_duration_since(t) > Duration::from_secs(20))
+            })
             .map(|h| h.id.clone())
             .take(MOST_RETURNED)
             .collect();
--- a/src/core/cluster.rs
+++ b/src/core/cluster.rs
@@ -165,7 +165,8 @@
         (self.spec.shards - self.done_count).saturating_sub(self.active.len() as u32)
     }
     pub fn running_count(&self) -> u32 {
-        let running = |a: &&Active| matches!(a.seen, Some(TaskPhase::Running | TaskPhase::Flushing));
+        let running =
+            |a: &&Active| matches!(a.seen, Some(TaskPhase::Running | TaskPhase::Flushing));
         self.active.values().filter(running).count() as u32
     }
 }
@@ -209,7 +210,14 @@
 }
 
 impl Host {
-    pub fn new(id: HostId, host_type: TypeName, site: Site, spot: bool, term: Term, now: Instant) -> Self {
+    pub fn new(
+        id: HostId,
+        host_type: TypeName,
+        site: Site,
+        spot: bool,
+        term: Term,
+        now: Instant,
+    ) -> Self {
         Host {
             id,
             endpoint: String::new(),
@@ -330,7 +338,13 @@
 }
 
 impl Cluster {
-    pub fn new(params: Params, term: Term, leader_stamp: u64, types: Vec<HostType>, now: Instant) -> Self {
+    pub fn new(
+        params: Params,
+        term: Term,
+        leader_stamp: u64,
+        types: Vec<HostType>,
+        now: Instant,
+    ) -> Self {
         let next_summary = now + params.tuning.summary_every;
         Cluster {
             params,
@@ -376,7 +390,14 @@
     }
 
     /// An intent chunk found at takeover. Whatever it names may be on its host.
-    pub fn load_chunk(&mut self, now: Instant, uid: &Uid, index: u32, value: ChunkValue, stamp: u64) {
+    pub fn load_chunk(
+        &mut self,
+        now: Instant,
+        uid: &Uid,
+        index: u32,
+        value: ChunkValue,
+        stamp: u64,
+    ) {
         let Some(job) = self.jobs.get_mut(uid) else {
             self.leftovers.push(ledger::chunk_key(uid, index));
             return;
@@ -440,7 +461,11 @@
         job.requeued.clear();
         self.dirty_jobs.insert(uid.clone());
         let tasks: Vec<u32> = job.active.keys().copied().collect();
-        log::info!("withdrawing job={uid} active={} term={}", tasks.len(), self.term.0);
+        log::info!(
+            "withdrawing job={uid} active={} term={}",
+            tasks.len(),
+            self.term.0
+        );
         for i in tasks {
             self.kill(now, uid, i, Duration::ZERO);
         }
@@ -477,7 +502,15 @@
     // --- attempts ---
 
     /// Records the decision to run a task on a host. The launch goes out once this is durable.
-    pub(super) fn assign(&mut self, now: Instant, uid: &Uid, index: u32, host: &HostId, attempt: Attempt, est: Duration) {
+    pub(super) fn assign(
+        &mut self,
+        now: Instant,
+        uid: &Uid,
+        index: u32,
+        host: &HostId,
+        attempt: Attempt,
+        est: Duration,
+    ) {
         let (Some(job), Some(h)) = (self.jobs.get_mut(uid), self.hosts.get_mut(host)) else {
             return;
         };
@@ -561,7 +594,13 @@
     }
 
     /// The attempt is off its host for certain. Unless it was done, the task waits again.
-    pub(super) fn gone(&mut self, now: Instant, uid: &Uid, index: u32, done: bool) -> Option<Active> {
+    pub(super) fn gone(
+        &mut self,
+        now: Instant,
+        uid: &Uid,
+        index: u32,
+        done: bool,
+    ) -> Option<Active> {
         let job = self.jobs.get_mut(uid)?;
         let a = job.active.remove(&index)?;
         let attempt = a.attempt;
@@ -570,8 +609,12 @@
         let version = chunk.version;
         chunk.held.push((index, attempt, version));
         if done {
-            chunk.done |= 1 << (index % CHUNK);
-            job.done_count += 1;
+            // A gang's members are all marked when the first one is done.
+            let bit = 1 << (index % CHUNK);
+            if chunk.done & bit == 0 {
+                chunk.done |= bit;
+                job.done_count += 1;
+            }
             job.progress.remove(&index);
         } else if !job.over() && !job.is_done(index) {
             job.requeued.insert(index);
@@ -639,8 +682,20 @@
         }
         let term = self.term;
         let h = self.hosts.entry(r.host.clone()).or_insert_with(|| {
-            log::info!("host appears host={} type={} site={}", r.host, r.host_type, r.site);
-            Host::new(r.host.clone(), r.host_type.clone(), r.site.clone(), r.spot, term, now)
+            log::info!(
+                "host appears host={} type={} site={}",
+                r.host,
+                r.host_type,
+                r.site
+            );
+            Host::new(
+                r.host.clone(),
+                r.host_type.clone(),
+                r.site.clone(),
+                r.spot,
+                term,
+                now,
+            )
         });
         if h.reported && (r.tenure, r.serial) <= (h.tenure, h.serial) {
             // Overtaken by a newer message: nothing is learned from it, but when it is a live
@@ -658,8 +713,14 @@
             h.avoid_until = None;
         }
         if let Some(since) = h.booting.take() {
-            self.capacity.booted(&r.host_type, now.saturating_duration_since(since));
-            log::info!("host is up host={} type={} site={}", r.host, r.host_type, r.site);
+            self.capacity
+                .booted(&r.host_type, now.saturating_duration_since(since));
+            log::info!(
+                "host is up host={} type={} site={}",
+                r.host,
+                r.host_type,
+                r.site
+            );
         }
         let new_tenure = r.tenure > h.tenure && h.reported;
         if !h.reported || r.tenure != h.tenure {
@@ -685,7 +746,11 @@
         h.eviction = match (r.eviction, h.eviction) {
             (Some(d), _) => {
                 if h.eviction.is_none() {
-                    log::info!("host will be taken host={} in_s={:.1}", r.host, d.as_secs_f64());
+                    log::info!(
+                        "host will be taken host={} in_s={:.1}",
+                        r.host,
+                        d.as_secs_f64()
+                    );
                     self.round_due = true;
                 }
                 Some(now + d)
@@ -847,7 +912,11 @@
             Exit::Error => {
                 job.errors += 1;
                 job.error_hosts.insert(r.host.clone());
-                log::info!("task failed task={task} host={} failures={}", r.host, job.errors);
+                log::info!(
+                    "task failed task={task} host={} failures={}",
+                    r.host,
+                    job.errors
+                );
                 // One job that fails on different hosts is itself at fault and waits ever longer.
                 if job.error_hosts.len() >= 3 {
                     let wait = 2u64.pow(job.errors.min(5)).min(30);
@@ -926,7 +995,13 @@
     }
 
     /// Launches and kills that this host has not shown to have taken.
-    fn directives(&mut self, now: Instant, host: &HostId, listed: Option<&HashSet<(TaskId, Attempt)>>, out: &mut Vec<Directive>) {
+    fn directives(
+        &mut self,
+        now: Instant,
+        host: &HostId,
+        listed: Option<&HashSet<(TaskId, Attempt)>>,
+        out: &mut Vec<Directive>,
+    ) {
         let Some(h) = self.hosts.get(host) else {
             return;
         };
--- a/src/core/model.rs
+++ b/src/core/model.rs
@@ -248,8 +248,9 @@
 impl Team {
     /// Whether `used` plus `more` stays within the limit.
     pub fn allows(&self, used: &Need, more: &Need) -> bool {
-        let within =
-            |max: Option<f64>, used: f64, more: f64| max.is_none_or(|m| used + more <= m + ROUNDING);
+        let within = |max: Option<f64>, used: f64, more: f64| {
+            max.is_none_or(|m| used + more <= m + ROUNDING)
+        };
         within(self.cpus_max, used.cpus, more.cpus) && within(self.gpus_max, used.gpus, more.gpus)
     }
     /// Whether `used` stays within the guarantee.
--- a/src/core/placement.rs
+++ b/src/core/placement.rs
@@ -74,7 +74,13 @@
 }
 
 /// Whether a job may start one more task there: the one place that every launch passes.
-pub fn permits(job: &Job, hosts: &impl Fn(&HostId) -> Option<Site>, type_name: &TypeName, site: &Site, spot: bool) -> bool {
+pub fn permits(
+    job: &Job,
+    hosts: &impl Fn(&HostId) -> Option<Site>,
+    type_name: &TypeName,
+    site: &Site,
+    spot: bool,
+) -> bool {
     let spec = &job.spec;
     if !spec.allows_type(type_name) || !spec.allows_site(site) || (spot && !spec.preemptible) {
         return false;
@@ -298,7 +304,15 @@
     }
 
     /// The slot with the least Avail + Est + penalty; among equals the fullest, then the cheapest.
-    fn best(&self, now: Instant, job: &Job, slots: &[Slot], ests: &[Duration], penalties: &[Duration], kept: Duration) -> Option<(usize, Instant, bool, Duration)> {
+    fn best(
+        &self,
+        now: Instant,
+        job: &Job,
+        slots: &[Slot],
+        ests: &[Duration],
+        penalties: &[Duration],
+        kept: Duration,
+    ) -> Option<(usize, Instant, bool, Duration)> {
         let mut best: Option<(i64, f64, f64, usize, Instant, bool, Duration)> = None;
         let site_of = self.site_of();
         for (i, s) in slots.iter().enumerate() {
@@ -333,7 +347,13 @@
     }
 
     /// A gang starts only when every member has room now.
-    fn place_gang(&mut self, now: Instant, uid: &Uid, slots: &mut [Slot], waiting: &mut Vec<Waiting>) {
+    fn place_gang(
+        &mut self,
+        now: Instant,
+        uid: &Uid,
+        slots: &mut [Slot],
+        waiting: &mut Vec<Waiting>,
+    ) {
         let Some(job) = self.jobs.get(uid) else {
             return;
         };
@@ -370,9 +390,14 @@
                         s.up_at.is_none()
                             && spec.need.fits(&free[*i])
                             && only.as_ref().is_none_or(|o| o == &s.site)
-                            && (!spec.spread
-                                || per_site.get(&s.site).copied().unwrap_or(0) < half)
-                            && permits(job, &site_of, &self.types[s.type_index].name, &s.site, s.spot)
+                            && (!spec.spread || per_site.get(&s.site).copied().unwrap_or(0) < half)
+                            && permits(
+                                job,
+                                &site_of,
+                                &self.types[s.type_index].name,
+                                &s.site,
+                                s.spot,
+                            )
                     })
                     .filter_map(|(i, s)| {
                         let t = &self.types[s.type_index];
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -139,7 +139,10 @@
     let path = path_of(&request);
     let queue = match path.as_str() {
         "/up" => {
-            let answer = match (request.method(), shared.view.healthy(std::time::Instant::now())) {
+            let answer = match (
+                request.method(),
+                shared.view.healthy(std::time::Instant::now()),
+            ) {
                 (Method::Get | Method::Head, true) => (200, Vec::new()),
                 (Method::Get | Method::Head, false) => problem(503, "the state service is lost"),
                 _ => problem(405, "wrong method"),
@@ -376,7 +379,11 @@
     store_said(shared, &result);
     match result {
         Ok(Txn::Applied { .. }) => {
-            log::debug!("accepted job={uid} class={} shards={}", spec.class, spec.shards);
+            log::debug!(
+                "accepted job={uid} class={} shards={}",
+                spec.class,
+                spec.shards
+            );
             ((201, state(shared, &uid, Verdict::Live, false)), None)
         }
         // Known already, or accepted by a transaction whose answer was lost: the key tells.
--- a/src/net/wire.rs
+++ b/src/net/wire.rs
@@ -212,9 +212,7 @@
                 gpus: self.need.1,
                 memory: self.need.2,
             },
-            host_types: self
-                .types
-                .map(|l| l.into_iter().map(TypeName).collect()),
+            host_types: self.types.map(|l| l.into_iter().map(TypeName).collect()),
             site: self.site.map(Site),
             same_place: self.same_place,
             spread: self.spread,
--- a/src/runtime/duties.rs
+++ b/src/runtime/duties.rs
@@ -80,7 +80,11 @@
         while let Some(e) = next {
             handle(&mut cluster, &mut published, e, now, out);
             done += 1;
-            next = if done < 64 { events.try_recv().ok() } else { None };
+            next = if done < 64 {
+                events.try_recv().ok()
+            } else {
+                None
+            };
         }
         let Some(c) = cluster.as_mut() else {
             next_tick = now + Duration::from_millis(500);
@@ -142,11 +146,9 @@
         }
         Event::Job(t, spec, stamp) if t == term => c.on_job(*spec, stamp),
         Event::Withdrawn(t, uid) if t == term => c.on_withdrawn(now, &uid),
-        Event::Written(t, outcome) if t == term => {
-            if c.on_batch(now, outcome) {
-                log::warn!("a write met a newer leader term={}", term.0);
-                let _ = out.signs.send(Sign::Leader(None));
-            }
+        Event::Written(t, outcome) if t == term && c.on_batch(now, outcome) => {
+            log::warn!("a write met a newer leader term={}", term.0);
+            let _ = out.signs.send(Sign::Leader(None));
         }
         Event::Sent(t, host, report) if t == term => {
             if let Some(higher) = c.on_sent(now, &host, report) {
@@ -321,9 +323,7 @@
         Uid::parse(uid).map(|u| Event::Withdrawn(term, u))
     } else {
         match value {
-            Some(Queued::Job(j)) => j
-                .into_spec()
-                .map(|s| Event::Job(term, Box::new(s), stamp)),
+            Some(Queued::Job(j)) => j.into_spec().map(|s| Event::Job(term, Box::new(s), stamp)),
             _ => None,
         }
     };
@@ -465,10 +465,9 @@
 fn keep_types(shared: &Shared, term: Term, types: wire::WireTypes) {
     let limit = Duration::from_millis(1500);
     let rank = Rank::Leader;
-    let Ok(Some(leader)) =
-        shared
-            .store
-            .get::<wire::StoredLeader>(ledger::LEADER_KEY, rank, limit)
+    let Ok(Some(leader)) = shared
+        .store
+        .get::<wire::StoredLeader>(ledger::LEADER_KEY, rank, limit)
     else {
         return;
     };
@@ -562,9 +561,7 @@
 }
 
 fn heard_hello(shared: &Shared, h: &Hello) {
-    shared
-        .view
-        .peer_said(&h.member, h.store_ok, Instant::now());
+    shared.view.peer_said(&h.member, h.store_ok, Instant::now());
     if let Some(term) = h.leads {
         let own = shared.view.read().highest;
         if Term(term) > own {
--- a/src/runtime/elector.rs
+++ b/src/runtime/elector.rs
@@ -67,10 +67,9 @@
 }
 
 fn watch_until_trouble(shared: &Shared, signs: &Sender<Sign>) -> Result<(), StoreError> {
-    let (pairs, mut revision) =
-        shared
-            .store
-            .list::<Control>(CONTROL_PREFIX, Rank::Leader, CALL)?;
+    let (pairs, mut revision) = shared
+        .store
+        .list::<Control>(CONTROL_PREFIX, Rank::Leader, CALL)?;
     shared.view.store_answered(true, Instant::now());
     let mut leader = None;
     for p in pairs {
--- a/src/runtime/service.rs
+++ b/src/runtime/service.rs
@@ -206,10 +206,7 @@
             Box::new(move || elector::watch_control(&s, &signs)),
         )?;
         let s = shared.clone();
-        spawn(
-            "elector",
-            Box::new(move || elector::elect(&s, &sign_queue)),
-        )?;
+        spawn("elector", Box::new(move || elector::elect(&s, &sign_queue)))?;
         for p in shared.peers.clone() {
             let s = shared.clone();
             spawn("announce", Box::new(move || duties::announce(&s, &p)))?;
--- a/src/runtime/view.rs
+++ b/src/runtime/view.rs
@@ -1,7 +1,7 @@
 //! What every thread of a node may know: who leads, the machine types, jobs' progress.
 
-use crate::core::ledger::Verdict;
 use crate::core::leadership::LeaderRecord;
+use crate::core::ledger::Verdict;
 use crate::core::model::{HostType, Term, Uid};
 use std::collections::{HashMap, VecDeque};
 use std::sync::{RwLock, RwLockReadGuard, RwLockWriteGuard};
@@ -97,7 +97,9 @@
     }
 
     pub fn peer_said(&self, member: &str, store_ok: bool, now: Instant) {
-        self.write().peers.insert(member.to_owned(), (now, store_ok));
+        self.write()
+            .peers
+            .insert(member.to_owned(), (now, store_ok));
     }
 
     /// Being taken out of the load balancer is costly: only when a peer can do what we cannot.
--- /dev/null
+++ b/tests/settings.rs
@@ -0,0 +1,69 @@
+//! Settings files, good and bad.
+
+use cypressgap::settings::Settings;
+use std::time::Duration;
+
+const NODE: &str = include_str!("../examples/node.toml");
+const OPERATORS: &str = include_str!("../examples/operators.lisp");
+
+#[test]
+fn the_example_is_read() {
+    let s = Settings::parse("node.toml", NODE).unwrap();
+    assert_eq!(s.member, "worker-0");
+    assert_eq!(s.seeds.len(), 2);
+    assert_eq!(s.params.lease, Duration::from_secs(30));
+    assert_eq!(s.params.teams[0].cpus_max, Some(128.0));
+    // 0 means none.
+    assert_eq!(s.params.teams[0].gpus_max, None);
+    assert_eq!(s.params.value_bytes, 16 * 1024);
+}
+
+#[test]
+fn bad_settings_are_refused_by_name() {
+    let cases = [
+        ("lease_s = 30.0", "lease_s = -1.0", "lease_s"),
+        ("lease_s = 30.0", "lease_s = nan", "lease_s"),
+        ("lease_s = 30.0", "", "lease_s"),
+        ("front = \"127.0.0.1:8080\"", "front = \"here\"", "front"),
+        ("count = 3", "count = 0", "count"),
+        ("txn_ops = 32", "txn_ops = 1", "txn_ops"),
+        ("cpus_max = 128.0", "cpus_max = -3.0", "cpus_max"),
+        ("state = \"127.0.0.1:2379\"", "", "state"),
+        ("max_sockets = 3000", "max_sockets = 1", "max_sockets"),
+        ("member = \"worker-0\"", "member = \"\"", "member"),
+    ];
+    for (old, new, name) in cases {
+        let text = NODE.replacen(old, new, 1);
+        assert_ne!(text, NODE, "{old}");
+        let error = Settings::parse("node.toml", &text).unwrap_err().to_string();
+        assert!(error.contains(name), "{old} -> {new}: {error}");
+    }
+}
+
+#[test]
+fn unknown_platform_fields_are_ignored() {
+    let text = NODE.replace("count = 3", "count = 3\nnovelty = [1, 2]");
+    assert_eq!(Settings::parse("node.toml", &text).unwrap().nodes, 3);
+}
+
+#[test]
+fn operators_settings() {
+    let mut s = Settings::parse("node.toml", NODE).unwrap();
+    s.parse_operators("operators.lisp", OPERATORS).unwrap();
+    assert_eq!(s.operations.leader_lease, Duration::from_secs(5));
+    let cases = [
+        ("(cypressgap\n (colour 3))", "line 2", "colour"),
+        ("(cypressgap\n\n (handlers 0))", "line 3", "handlers"),
+        ("(cypressgap (handlers many))", "line 1", "handlers"),
+        ("(cypressgap (handlers))", "line 1", "NAME VALUE"),
+        ("(other (handlers 4))", "line 1", "cypressgap"),
+        ("(cypressgap (handlers 4)", "line 1", "S-expression"),
+    ];
+    for (text, line, problem) in cases {
+        let error = s.parse_operators("o.lisp", text).unwrap_err().to_string();
+        assert!(
+            error.contains(line) && error.contains(problem),
+            "{text}: {error}"
+        );
+    }
+}
