--- a/src/runtime/duties.rs
+++ b/src/runtime/duties.rs
@@ -146,9 +146,12 @@
         }
         Event::Job(t, spec, stamp) if t == term => c.on_job(*spec, stamp),
         Event::Withdrawn(t, uid) if t == term => c.on_withdrawn(now, &uid),
-        Event::Written(t, outcome) if t == term && c.on_batch(now, outcome) => {
-            log::warn!("a write met a newer leader term={}", term.0);
-            let _ = out.signs.send(Sign::Leader(None));
+        Event::Written(t, outcome) if t == term => {
+            let superseded = c.on_batch(now, outcome);
+            if superseded {
+                log::warn!("a write met a newer leader term={}", term.0);
+                let _ = out.signs.send(Sign::Leader(None));
+            }
         }
         Event::Sent(t, host, report) if t == term => {
             if let Some(higher) = c.on_sent(now, &host, report) {
