--- a/src/core/capacity.rs
+++ b/src/core/capacity.rs
@@ -17,6 +17,9 @@
 /// After a refusal, the same kind is not asked for again for this long.
 const REFUSED_PAUSE: Duration = Duration::from_secs(12);
 
+/// Waits beyond a boot that are not worth a machine.
+const RENT_MARGIN: Duration = Duration::from_secs(3);
+
 type Offer = (TypeName, Site, bool);
 
 #[derive(Clone, Debug)]
@@ -111,9 +114,12 @@
             };
             let spec = &job.spec;
             let site_of = |h: &HostId| self.hosts.get(h).map(|h| h.site.clone());
+            // A task booked on a machine that is coming up already waits about a boot's time: only
+            // what waits clearly longer calls for another one.
             let worth = |t: &HostType| {
+                let boot = self.capacity.boot_time(t);
                 w.wait
-                    .is_none_or(|wait| wait > self.capacity.boot_time(t).mul_f64(0.8))
+                    .is_none_or(|wait| wait > boot.mul_f64(1.2) + RENT_MARGIN)
             };
             let fits_open = plan.iter_mut().find(|m| {
                 let o = &m.offer;
