Among equal scores the cheapest machine first, then the fullest

Cause: ordinary machines kept drawing tasks, since equal scores went to the fullest machine. Ruled out: fetch penalty (images are cached everywhere within minutes).

--- a/src/core/placement.rs
+++ b/src/core/placement.rs
@@ -41,6 +41,15 @@
     price: f64,
 }
 
+/// Prices a half apart or nearer count as equal: spot prices move by a third.
+fn price_step(price: f64) -> f64 {
+    if price > 0.0 {
+        (price.ln() / 1.5f64.ln()).round()
+    } else {
+        f64::NEG_INFINITY
+    }
+}
+
 impl Slot {
     /// Avail: now if room fits, else when booked tasks free enough.
     fn avail(&self, now: Instant, need: &Need, room: &Need) -> Option<(Instant, bool)> {
@@ -162,7 +171,7 @@
                 up_at,
                 speed: h.speed(),
                 fill: h.used.share_of(&t.room),
-                price: t.price(h.spot) / t.room.cpus.max(1.0),
+                price: price_step(t.price(h.spot) / t.room.cpus.max(1.0)),
             });
         }
         slots
@@ -303,7 +312,8 @@
         }
     }
 
-    /// The slot with the least Avail + Est + penalty; among equals the fullest, then the cheapest.
+    /// The slot with the least Avail + Est + penalty; among equals the cheapest, then the fullest, so
+    /// that dear machines and nearly idle ones empty and can be returned.
     fn best(
         &self,
         now: Instant,
@@ -334,8 +344,8 @@
                 Some((bs, bf, bp, ..)) => {
                     score
                         .cmp(bs)
-                        .then(bf.total_cmp(&s.fill))
                         .then(s.price.total_cmp(bp))
+                        .then(bf.total_cmp(&s.fill))
                         == Ordering::Less
                 }
             };
