--- a/src/core/placement.rs
+++ b/src/core/placement.rs
@@ -5,10 +5,10 @@
 //! it for this round, which pushes that machine's Avail out for the tasks after it, and the task
 //! waits to be scored again in the next round.
 
-use super::cluster::{Cluster, Host, Job};
+use super::cluster::{Active, Cluster, Host, Job};
 use super::model::*;
 use std::cmp::Ordering;
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::time::{Duration, Instant};
 
 /// Tasks looked at in one round. A longer queue waits for the rounds to come.
@@ -16,6 +16,13 @@
 /// Scores closer than this are equal: reports come no more often than every half second.
 const RESOLUTION_S: f64 = 1.0;
 
+/// Tasks stopped for others in one round.
+const ROUND_VICTIMS: usize = 32;
+/// Waits no longer than this are not worth anybody's work.
+const PREEMPT_PATIENCE: Duration = Duration::from_secs(2);
+/// A task that has run for less is left alone: stopped so early, its start would have been in vain.
+const VICTIM_RAN: Duration = Duration::from_secs(31);
+
 /// A task that found no room, and when the best machine is expected to have some.
 #[derive(Clone, Debug)]
 pub struct Waiting {
@@ -82,6 +89,27 @@
     }
 }
 
+/// What stopping an attempt at once costs, in seconds of its work. None: it must not be stopped,
+/// since it only just started or will end by itself soon.
+fn victim_loss(now: Instant, job: &Job, a: &Active, kept: Duration) -> Option<f64> {
+    let Some(since) = a.running_since else {
+        // Nothing is lost yet, but its start would be.
+        return None;
+    };
+    let ran = now.saturating_duration_since(since);
+    let rest = a.est.saturating_sub(ran);
+    if ran < VICTIM_RAN || rest < PREEMPT_PATIENCE {
+        return None;
+    }
+    let progress = ran.as_secs_f64() + kept.as_secs_f64();
+    let every = job.spec.snapshot_every.as_secs_f64();
+    Some(if every > 0.0 {
+        progress % every
+    } else {
+        progress
+    })
+}
+
 /// Whether a job may start one more task there: the one place that every launch passes.
 pub fn permits(
     job: &Job,
@@ -206,7 +234,13 @@
         let mut slots = self.slots(now);
         let mut waiting = Vec::new();
         let mut looked = 0;
-        let order = self.order.clone();
+        let within = self.within_guarantee();
+        // Within one urgency, what a team's guarantee covers goes before what is borrowed.
+        let mut order = self.order.clone();
+        order.sort_by_key(|u| {
+            let urgency = self.jobs.get(u).map_or(Urgency::Idle, |j| j.spec.urgency);
+            (std::cmp::Reverse(urgency), !within.contains(u))
+        });
         let mut booked: HashMap<TeamName, Need> = HashMap::new();
         for uid in &order {
             if looked >= ROUND_TASKS {
@@ -290,9 +324,136 @@
                 }
             }
         }
+        self.preempt(now, &waiting, &slots, &within);
         waiting
     }
 
+    /// Jobs that fit into their team's guarantee together with its earlier unfinished jobs.
+    fn within_guarantee(&self) -> HashSet<Uid> {
+        let mut jobs: Vec<&Job> = self.jobs.values().filter(|j| !j.over()).collect();
+        jobs.sort_by_key(|j| j.stamp);
+        let mut sums: HashMap<&TeamName, Need> = HashMap::new();
+        let mut within = HashSet::new();
+        for j in jobs {
+            let sum = sums.entry(&j.spec.owner).or_default();
+            sum.add(&j.spec.need.times(f64::from(j.spec.shards)));
+            let team = self.params.teams.iter().find(|t| t.name == j.spec.owner);
+            if team.is_some_and(|t| t.guarantees(sum)) {
+                within.insert(j.spec.uid.clone());
+            }
+        }
+        within
+    }
+
+    /// Stops tasks for those that have a claim on their room: of lower urgency, or borrowed by a
+    /// team beyond its guarantee while another lacks its own. Victims are those that lose least.
+    fn preempt(
+        &mut self,
+        now: Instant,
+        waiting: &[Waiting],
+        slots: &[Slot],
+        within: &HashSet<Uid>,
+    ) {
+        let mut pool: Vec<Need> = slots.iter().map(|s| s.free).collect();
+        let mut chosen: Vec<(TaskId, Duration)> = Vec::new();
+        let mut taken: HashSet<TaskId> = HashSet::new();
+        let mut usage = self.usage.clone();
+        for w in waiting {
+            if chosen.len() >= ROUND_VICTIMS {
+                break;
+            }
+            if w.wait.is_some_and(|x| x <= PREEMPT_PATIENCE) {
+                continue;
+            }
+            let Some(job) = self.jobs.get(&w.uid) else {
+                continue;
+            };
+            let spec = &job.spec;
+            let covered = within.contains(&w.uid);
+            if spec.kind == JobKind::Gang || (!covered && spec.urgency <= Urgency::Standard) {
+                continue;
+            }
+            let site_of = self.site_of();
+            let mut best: Option<(f64, usize, Vec<(TaskId, Duration)>)> = None;
+            for (i, s) in slots.iter().enumerate() {
+                let t = &self.types[s.type_index];
+                if s.up_at.is_some() || !permits(job, &site_of, &t.name, &s.site, s.spot) {
+                    continue;
+                }
+                let Some(h) = self.hosts.get(&s.id) else {
+                    continue;
+                };
+                let fetch = self.penalty(now, h, t, spec).as_secs_f64();
+                if spec.need.fits(&pool[i]) {
+                    if best.as_ref().is_none_or(|b| fetch < b.0) {
+                        best = Some((fetch, i, Vec::new()));
+                    }
+                    continue;
+                }
+                let mut victims: Vec<(f64, &TaskId, &Job)> = Vec::new();
+                for task in h.placed.keys().filter(|t| !taken.contains(*t)) {
+                    let Some(v) = self.jobs.get(&task.uid) else {
+                        continue;
+                    };
+                    let Some(a) = v.active.get(&task.index) else {
+                        continue;
+                    };
+                    let borrowed = covered
+                        && !within.contains(&task.uid)
+                        && v.spec.owner != spec.owner
+                        && self.beyond_guarantee(&usage, &v.spec);
+                    let lower = v.spec.urgency < spec.urgency;
+                    if a.kill.is_some() || v.spec.kind == JobKind::Gang || !(lower || borrowed) {
+                        continue;
+                    }
+                    let kept = v.progress.get(&task.index).copied().unwrap_or_default();
+                    if let Some(loss) = victim_loss(now, v, a, kept) {
+                        victims.push((loss * v.spec.need.share_of(&t.room), task, v));
+                    }
+                }
+                victims.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(b.1)));
+                let mut room = pool[i];
+                let mut loss = fetch;
+                let mut list = Vec::new();
+                for (l, task, v) in victims {
+                    if spec.need.fits(&room) {
+                        break;
+                    }
+                    room.add(&v.spec.need);
+                    loss += l;
+                    list.push((task.clone(), Duration::ZERO));
+                }
+                if spec.need.fits(&room) && best.as_ref().is_none_or(|b| loss < b.0) {
+                    best = Some((loss, i, list));
+                }
+            }
+            let Some((_, i, list)) = best else {
+                continue;
+            };
+            for (task, grace) in list {
+                if let Some(v) = self.jobs.get(&task.uid) {
+                    pool[i].add(&v.spec.need);
+                    if let Some(u) = usage.get_mut(&v.spec.owner) {
+                        u.sub(&v.spec.need);
+                    }
+                }
+                taken.insert(task.clone());
+                chosen.push((task, grace));
+            }
+            pool[i].sub(&spec.need);
+        }
+        for (task, grace) in chosen {
+            log::debug!("preempting task={task}");
+            self.kill(now, &task.uid, task.index, grace);
+        }
+    }
+
+    fn beyond_guarantee(&self, usage: &HashMap<TeamName, Need>, spec: &JobSpec) -> bool {
+        let team = self.params.teams.iter().find(|t| t.name == spec.owner);
+        let used = usage.get(&spec.owner).copied().unwrap_or_default();
+        team.is_some_and(|t| !t.guarantees(&used))
+    }
+
     /// Whether the team's limit leaves room for one more, counting doubtful and booked tasks.
     fn team_allows(&self, spec: &JobSpec, booked: &HashMap<TeamName, Need>) -> bool {
         let Some(team) = self.params.teams.iter().find(|t| t.name == spec.owner) else {
