Spot stand-ins for ordinary machines, headroom by typical job, patience with dear machines

Cause: ordinary machines stayed for as long as they drew tasks, and nothing was kept free for start aims.

--- a/src/core/capacity.rs
+++ b/src/core/capacity.rs
@@ -4,11 +4,11 @@
 //! machines, cheapest first; what fills one well enough is rented. Machines go back when they are
 //! idle, silent, sick, about to be taken, or never came up.
 
-use super::cluster::{Action, Cluster, Host};
+use super::cluster::{Action, Cluster, Host, Job};
 use super::history::Average;
 use super::model::*;
-use super::placement::{permits, Waiting};
-use std::collections::{BTreeMap, HashMap};
+use super::placement::{permits, Round};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::time::{Duration, Instant};
 
 /// The cloud takes no more in one rental, and no more names in one return.
@@ -20,6 +20,17 @@
 /// Waits beyond a boot that are not worth a machine.
 const RENT_MARGIN: Duration = Duration::from_secs(3);
 
+/// A machine that costs this much more by the CPU than the cheapest allowed one is dear.
+const DEAR: f64 = 1.5;
+/// How long work must wait before a dear machine is rented for it, unless that saves its deadline.
+const DEAR_PATIENCE: Duration = Duration::from_secs(90);
+/// Jobs of a class that its typical size is taken from.
+const RECENT_JOBS: usize = 20;
+/// After a refusal, no cheaper stand-in is looked for for this long.
+const REPLACE_PAUSE: Duration = Duration::from_secs(60);
+/// Stand-ins on their way at a time.
+const REPLACING: u32 = 3;
+
 type Offer = (TypeName, Site, bool);
 
 #[derive(Clone, Debug)]
@@ -36,6 +47,12 @@
     rentals: BTreeMap<String, Rental>,
     refused: HashMap<Offer, (Instant, u32)>,
     boots: HashMap<TypeName, Average>,
+    recent: HashMap<String, VecDeque<(u32, Need)>>,
+    /// Spot machines rented to take an ordinary one's place, by type.
+    replacing: HashMap<TypeName, u32>,
+    /// Ordinary machines that may be drained now, by type.
+    replaced: HashMap<TypeName, u32>,
+    replace_after: Option<Instant>,
 }
 
 #[derive(Clone, Debug, PartialEq)]
@@ -48,7 +65,11 @@
 }
 
 impl Capacity {
-    pub fn booted(&mut self, t: &TypeName, took: Duration) {
+    pub fn booted(&mut self, t: &TypeName, took: Duration, spot: bool) {
+        if let Some(n) = self.replacing.get_mut(t).filter(|n| spot && **n > 0) {
+            *n -= 1;
+            *self.replaced.entry(t.clone()).or_default() += 1;
+        }
         self.boots
             .entry(t.clone())
             .or_default()
@@ -61,6 +82,25 @@
             _ => t.boot,
         }
     }
+    pub fn saw_job(&mut self, spec: &JobSpec) {
+        let recent = self.recent.entry(spec.class.clone()).or_default();
+        recent.push_back((spec.shards, spec.need));
+        if recent.len() > RECENT_JOBS {
+            recent.pop_front();
+        }
+    }
+    /// What a class's jobs take: a size that four in five stay below, and a task's mean need.
+    fn typical(&self, class: &str) -> Option<(u32, Need)> {
+        let recent = self.recent.get(class).filter(|r| !r.is_empty())?;
+        let mut sizes: Vec<u32> = recent.iter().map(|r| r.0).collect();
+        sizes.sort_unstable();
+        let size = sizes[(sizes.len() * 4 / 5).min(sizes.len() - 1)];
+        let mut need = Need::default();
+        for r in recent {
+            need.add(&r.1);
+        }
+        Some((size, need.times(1.0 / recent.len() as f64)))
+    }
     fn pending(&self) -> u32 {
         self.rentals.values().map(|r| r.number).sum()
     }
@@ -75,15 +115,33 @@
 }
 
 impl Cluster {
-    pub(super) fn manage_capacity(&mut self, now: Instant, waiting: &[Waiting]) {
+    pub(super) fn manage_capacity(&mut self, now: Instant, round: &Round) {
         self.return_hosts(now);
-        self.rent(now, waiting);
+        self.rent(now, round);
+        self.replace_dear(now, round);
         self.repeat_rentals(now);
     }
 
+    /// How long a job can still wait without missing what its users were promised.
+    fn slack(&self, now: Instant, job: &Job, est: Duration) -> Option<Duration> {
+        let promised =
+            |kind: &str, o: &Objective| o.kind == kind && o.class.as_ref() == Some(&job.spec.class);
+        let finish = self
+            .params
+            .objectives
+            .iter()
+            .filter(|o| promised("finished", o))
+            .filter_map(|o| o.within)
+            .chain(job.spec.due)
+            .min()?;
+        let elapsed = now.saturating_duration_since(job.arrived);
+        Some(finish.saturating_sub(elapsed).saturating_sub(est))
+    }
+
     // --- renting ---
 
-    fn rent(&mut self, now: Instant, waiting: &[Waiting]) {
+    fn rent(&mut self, now: Instant, round: &Round) {
+        let waiting = &round.waiting;
         if self.types.is_empty()
             || now.saturating_duration_since(self.started) < self.params.report * 2
         {
@@ -114,12 +172,27 @@
             };
             let spec = &job.spec;
             let site_of = |h: &HostId| self.hosts.get(h).map(|h| h.site.clone());
+            let slack = self.slack(now, job, w.est);
+            let per_cpu = |t: &HostType, spot: bool| t.price(spot) / t.room.cpus.max(1.0);
+            let cheapest = self
+                .types
+                .iter()
+                .filter(|t| spec.allows_type(&t.name) && spec.need.fits(&t.room))
+                .map(|t| per_cpu(t, spec.preemptible))
+                .fold(f64::INFINITY, f64::min);
             // A task booked on a machine that is coming up already waits about a boot's time: only
-            // what waits clearly longer calls for another one.
-            let worth = |t: &HostType| {
+            // what waits clearly longer calls for another one, and for a dear one only what would
+            // otherwise miss its time or waits very long.
+            let worth = |t: &HostType, spot: bool| {
                 let boot = self.capacity.boot_time(t);
-                w.wait
-                    .is_none_or(|wait| wait > boot.mul_f64(1.2) + RENT_MARGIN)
+                let Some(wait) = w.wait else {
+                    return true;
+                };
+                if per_cpu(t, spot) <= cheapest * DEAR {
+                    return wait > boot.mul_f64(1.2) + RENT_MARGIN;
+                }
+                let saves = slack.is_some_and(|s| wait > s && boot <= s);
+                (saves && wait > boot.mul_f64(1.2) + RENT_MARGIN) || wait > boot + DEAR_PATIENCE
             };
             let fits_open = plan.iter_mut().find(|m| {
                 let o = &m.offer;
@@ -132,7 +205,7 @@
             }
             let mut best: Option<(f64, Offer, Need)> = None;
             let left = same.get(&w.uid).copied().unwrap_or(1).max(1);
-            for t in self.types.iter().filter(|t| worth(t)) {
+            for t in &self.types {
                 let slots = spec.need.count_in(&t.room);
                 if slots == 0 {
                     continue;
@@ -140,6 +213,9 @@
                 for site in &t.sites {
                     for spot in [true, false] {
                         let offer = (t.name.clone(), site.clone(), spot);
+                        if !worth(t, spot) {
+                            continue;
+                        }
                         if !permits(job, &site_of, &t.name, site, spot)
                             || self.is_refused(now, &offer)
                         {
@@ -169,6 +245,7 @@
                 }
             }
         }
+        self.plan_headroom(now, round, &mut plan);
         let mut counts: BTreeMap<Offer, u32> = BTreeMap::new();
         for m in plan
             .iter()
@@ -177,7 +254,15 @@
         {
             *counts.entry(m.offer.clone()).or_default() += 1;
         }
-        for (offer, n) in counts {
+        for (offer, mut n) in counts {
+            // A machine that is being emptied to save money is had sooner and for less.
+            for h in self.hosts.values_mut() {
+                if n > 0 && h.draining && !h.returning && h.host_type == offer.0 && !offer.2 {
+                    log::info!("host is kept after all host={}", h.id);
+                    h.draining = false;
+                    n -= 1;
+                }
+            }
             let room = (self.params.tuning.max_hosts)
                 .saturating_sub(self.hosts.len() + self.capacity.pending() as usize);
             let n = n.min(MOST_RENTED).min(room as u32);
@@ -187,6 +272,109 @@
         }
     }
 
+    /// Tasks of each class with a start aim that must find room at once: class's typical job.
+    fn headroom(&self) -> Vec<(u32, Need)> {
+        let mut seen: Vec<&str> = Vec::new();
+        let mut out = Vec::new();
+        for o in self.params.objectives.iter().filter(|o| o.kind == "wait") {
+            let Some(class) = o.class.as_deref() else {
+                continue;
+            };
+            if seen.contains(&class) {
+                continue;
+            }
+            seen.push(class);
+            if let Some((size, need)) = self.capacity.typical(class) {
+                let tasks = (f64::from(size) * self.params.tuning.headroom_jobs).ceil();
+                out.push((tasks as u32, need));
+            }
+        }
+        out
+    }
+
+    /// Imagines the cheapest machines for headroom that is missing.
+    fn plan_headroom(&self, now: Instant, round: &Round, plan: &mut Vec<Imagined>) {
+        for (tasks, need) in self.headroom() {
+            let mut have: usize = round.spare.iter().map(|(_, n)| need.count_in(n)).sum();
+            have += plan.iter().map(|m| need.count_in(&m.free)).sum::<usize>();
+            while have < tasks as usize {
+                let missing = tasks as usize - have;
+                let mut best: Option<(f64, Offer, Need, usize)> = None;
+                for t in &self.types {
+                    let slots = need.count_in(&t.room);
+                    for site in t.sites.iter().filter(|_| slots > 0) {
+                        let offer = (t.name.clone(), site.clone(), true);
+                        if self.is_refused(now, &offer) {
+                            continue;
+                        }
+                        let crowd = self.site_crowd(site) as f64;
+                        let cost =
+                            t.price(true) / slots.min(missing) as f64 * (1.0 + 0.001 * crowd);
+                        if best.as_ref().is_none_or(|b| cost < b.0) {
+                            best = Some((cost, offer, t.room, slots));
+                        }
+                    }
+                }
+                let Some((_, offer, room, slots)) = best else {
+                    break;
+                };
+                have += slots;
+                plan.push(Imagined {
+                    offer,
+                    room,
+                    free: room,
+                    tasks: 1,
+                });
+            }
+        }
+    }
+
+    /// Ordinary machines in use are replaced by spot ones of their type where these can be had.
+    fn replace_dear(&mut self, now: Instant, round: &Round) {
+        if self.capacity.replace_after.is_none_or(|t| t <= now) && round.waiting.is_empty() {
+            let on_the_way: u32 = self.capacity.replacing.values().sum();
+            let candidate = self.hosts.values().find(|h| {
+                let t = self.host_type(&h.host_type);
+                let dear = t.is_some_and(|t| t.hourly > t.low_price * DEAR);
+                let can_move = h.placed.keys().all(|t| {
+                    let job = self.jobs.get(&t.uid);
+                    job.is_none_or(|j| j.spec.preemptible)
+                });
+                let busy = !h.placed.is_empty();
+                dear && busy && can_move && h.reported && !h.spot && !h.draining && !h.returning
+            });
+            if let Some(h) = candidate.filter(|_| on_the_way < REPLACING) {
+                let name = h.host_type.clone();
+                let same = |h: &&Host| h.host_type == name && !h.spot && !h.draining;
+                let ordinary = self.hosts.values().filter(same).count() as u32;
+                let under_way = self.capacity.replacing.get(&name).copied().unwrap_or(0);
+                let sites = self.host_type(&name).map(|t| t.sites.clone());
+                let offer = sites.unwrap_or_default().into_iter().find_map(|s| {
+                    let offer = (name.clone(), s, true);
+                    (!self.is_refused(now, &offer)).then_some(offer)
+                });
+                match offer {
+                    Some(o) if under_way < ordinary => {
+                        *self.capacity.replacing.entry(name).or_default() += 1;
+                        self.order_rental(o, 1);
+                    }
+                    _ => self.capacity.replace_after = Some(now + Duration::from_secs(10)),
+                }
+            }
+        }
+        for (name, n) in std::mem::take(&mut self.capacity.replaced) {
+            let mut left = n;
+            for h in self.hosts.values_mut() {
+                if left > 0 && h.host_type == name && !h.spot && !h.draining && h.booting.is_none()
+                {
+                    log::info!("host is emptied for a cheaper one host={}", h.id);
+                    h.draining = true;
+                    left -= 1;
+                }
+            }
+        }
+    }
+
     fn site_crowd(&self, site: &Site) -> usize {
         self.hosts.values().filter(|h| &h.site == site).count()
     }
@@ -276,6 +464,9 @@
     }
 
     fn refuse(&mut self, now: Instant, offer: Offer) {
+        if offer.2 && self.capacity.replacing.remove(&offer.0).is_some() {
+            self.capacity.replace_after = Some(now + REPLACE_PAUSE);
+        }
         let e = self.capacity.refused.entry(offer).or_insert((now, 0));
         e.1 = (e.1 + 1).min(3);
         e.0 = now + REFUSED_PAUSE * e.1;
@@ -329,8 +520,8 @@
         let quiet = self.hosts.values().filter(up).filter(|h| silent(h)).count();
         // When most fall silent at once, the fault is more likely on our side.
         let ours = quiet >= 3 && quiet * 2 > all;
-        let spare = self.spare(now);
-        let mut spare_left = spare;
+        let headroom = self.headroom();
+        let mut free: Vec<(HostId, Need)> = self.free_room(now);
         let mut leaving: Vec<(HostId, &str)> = Vec::new();
         // The dearest idle machines go first.
         let mut hosts: Vec<&Host> = self.hosts.values().filter(|h| !h.returning).collect();
@@ -361,19 +552,24 @@
                 && (h.reported || now.saturating_duration_since(h.known_since) > p.lease)
             {
                 leaving.push((h.id.clone(), "silent"));
-            } else if let (Some(since), Some(t)) = (h.idle_since, t) {
+            } else if let Some(since) = h.idle_since {
                 let keep = if h.spot {
                     p.tuning.idle_spot
                 } else {
                     p.tuning.idle_ordinary
                 };
                 let idle = now.saturating_duration_since(since) > keep;
-                if h.reported && h.placed.is_empty() && idle {
-                    let cpus = t.room.cpus;
-                    if spare_left.cpus >= cpus {
-                        spare_left.sub(&t.room);
-                        leaving.push((h.id.clone(), "idle"));
-                    }
+                if !h.reported || !h.placed.is_empty() || !(idle || h.draining) {
+                    continue;
+                }
+                let enough = headroom.iter().all(|(tasks, need)| {
+                    let others = free.iter().filter(|(id, _)| id != &h.id);
+                    let slots: usize = others.map(|(_, n)| need.count_in(n)).sum();
+                    slots >= *tasks as usize
+                });
+                if enough || h.draining {
+                    free.retain(|(id, _)| id != &h.id);
+                    leaving.push((h.id.clone(), "idle"));
                 }
             }
         }
@@ -404,42 +600,21 @@
         }
     }
 
-    /// Free room beyond what is kept ready for classes whose tasks must start soon.
-    fn spare(&self, now: Instant) -> Need {
-        let mut free = Need::default();
+    /// Room free now on machines that take tasks.
+    fn free_room(&self, now: Instant) -> Vec<(HostId, Need)> {
+        let mut out = Vec::new();
         for h in self.hosts.values() {
             let Some(t) = self.host_type(&h.host_type) else {
                 continue;
             };
             let fresh = now.saturating_duration_since(h.last_heard) <= self.params.report * 3;
-            if h.reported && fresh && !h.returning && !h.quarantined && h.eviction.is_none() {
-                free.add(&t.room);
+            let leaving = h.returning || h.quarantined || h.draining || h.eviction.is_some();
+            if h.reported && fresh && !leaving {
+                let mut free = t.room;
                 free.sub(&h.used);
+                out.push((h.id.clone(), free));
             }
         }
-        free.cpus = (free.cpus - self.headroom()).max(0.0);
-        free
-    }
-
-    /// CPUs to keep free: what the typical job of each class with a start aim takes.
-    fn headroom(&self) -> f64 {
-        let mut sum = 0.0;
-        for o in &self.params.objectives {
-            if o.kind != "wait" {
-                continue;
-            }
-            let Some(class) = &o.class else { continue };
-            let jobs: Vec<f64> = self
-                .jobs
-                .values()
-                .filter(|j| &j.spec.class == class)
-                .map(|j| j.spec.need.cpus * f64::from(j.spec.shards))
-                .collect();
-            if !jobs.is_empty() {
-                let mean = jobs.iter().sum::<f64>() / jobs.len() as f64;
-                sum = f64::max(sum, mean * self.params.tuning.headroom_jobs);
-            }
-        }
-        sum
+        out
     }
 }
--- a/src/core/cluster.rs
+++ b/src/core/cluster.rs
@@ -71,13 +71,16 @@
     pub backoff_until: Option<Instant>,
     pub unknowns: u32,
     pub progress: HashMap<u32, Duration>,
+    /// When its user was told that it is accepted.
+    pub arrived: Instant,
 }
 
 impl Job {
-    fn new(spec: JobSpec, stamp: u64) -> Self {
+    fn new(spec: JobSpec, stamp: u64, arrived: Instant) -> Self {
         Job {
             spec,
             stamp,
+            arrived,
             withdrawn: false,
             withdrawn_at: None,
             finished: false,
@@ -200,6 +203,8 @@
     pub returning: bool,
     pub return_sent: Option<Instant>,
     pub idle_since: Option<Instant>,
+    /// A cheaper machine has taken its place: it gets no more tasks.
+    pub draining: bool,
     pub avoid_until: Option<Instant>,
     /// Jobs whose tasks failed here since the last success.
     pub failed_jobs: HashSet<Uid>,
@@ -243,6 +248,7 @@
             returning: false,
             return_sent: None,
             idle_since: None,
+            draining: false,
             avoid_until: None,
             failed_jobs: HashSet::new(),
             quarantined: false,
@@ -331,6 +337,8 @@
     tombstones: HashSet<HostId>,
     tombstone_order: VecDeque<HostId>,
     pub started: Instant,
+    /// Time of day at `started`, in milliseconds since 1970.
+    pub started_ms: u64,
     pub(super) round_due: bool,
     pub(super) last_round: Option<Instant>,
     /// Starts of this term with their waits, for the log's summary.
@@ -344,6 +352,7 @@
         leader_stamp: u64,
         types: Vec<HostType>,
         now: Instant,
+        started_ms: u64,
     ) -> Self {
         let next_summary = now + params.tuning.summary_every;
         Cluster {
@@ -370,6 +379,7 @@
             tombstones: HashSet::new(),
             tombstone_order: VecDeque::new(),
             started: now,
+            started_ms,
             round_due: true,
             last_round: None,
             waits: Vec::new(),
@@ -384,7 +394,16 @@
             return;
         }
         let uid = spec.uid.clone();
-        self.jobs.insert(uid, Job::new(spec, stamp));
+        // Times of day of different nodes agree well enough for this.
+        let age = self.started_ms.saturating_sub(spec.accepted_ms);
+        let arrived = if age > 0 {
+            let then = self.started.checked_sub(Duration::from_millis(age));
+            then.unwrap_or(self.started)
+        } else {
+            self.started + Duration::from_millis(spec.accepted_ms - self.started_ms)
+        };
+        self.capacity.saw_job(&spec);
+        self.jobs.insert(uid, Job::new(spec, stamp, arrived));
         self.order_stale = true;
         self.round_due = true;
     }
@@ -713,8 +732,8 @@
             h.avoid_until = None;
         }
         if let Some(since) = h.booting.take() {
-            self.capacity
-                .booted(&r.host_type, now.saturating_duration_since(since));
+            let took = now.saturating_duration_since(since);
+            self.capacity.booted(&r.host_type, took, r.spot);
             log::info!(
                 "host is up host={} type={} site={}",
                 r.host,
@@ -1301,8 +1320,8 @@
         {
             self.last_round = Some(now);
             self.round_due = false;
-            let waiting = self.place(now);
-            self.manage_capacity(now, &waiting);
+            let round = self.place(now);
+            self.manage_capacity(now, &round);
         }
         self.send_urgent(now);
         if let Some(b) = self.next_batch(now) {
--- a/src/core/placement.rs
+++ b/src/core/placement.rs
@@ -31,6 +31,13 @@
     pub est: Duration,
 }
 
+/// What a round leaves for the capacity to see to.
+pub struct Round {
+    pub waiting: Vec<Waiting>,
+    /// Room that neither running nor booked tasks take, on machines up or coming up.
+    pub spare: Vec<(HostId, Need)>,
+}
+
 /// A machine as the round sees it, with this round's starts and bookings on top.
 struct Slot {
     id: HostId,
@@ -147,6 +154,7 @@
             && fresh
             && !h.returning
             && !h.quarantined
+            && !h.draining
             && h.eviction.is_none()
             && h.avoid_until.is_none_or(|t| t <= now)
     }
@@ -229,7 +237,7 @@
     }
 
     /// One round over the queue. Starts what can start; returns what waits.
-    pub(super) fn place(&mut self, now: Instant) -> Vec<Waiting> {
+    pub(super) fn place(&mut self, now: Instant) -> Round {
         self.sort_order();
         let mut slots = self.slots(now);
         let mut waiting = Vec::new();
@@ -325,7 +333,8 @@
             }
         }
         self.preempt(now, &waiting, &slots, &within);
-        waiting
+        let spare = slots.into_iter().map(|s| (s.id, s.later)).collect();
+        Round { waiting, spare }
     }
 
     /// Jobs that fit into their team's guarantee together with its earlier unfinished jobs.
--- a/src/runtime/elector.rs
+++ b/src/runtime/elector.rs
@@ -303,8 +303,12 @@
     let (intents, _) = store.list::<StoredChunk>(ledger::INTENT_PREFIX, rank, limit)?;
     let history = store.get::<StoredHistory>(ledger::HISTORY_KEY, rank, limit)?;
     let now = Instant::now();
+    let now_ms = std::time::SystemTime::now()
+        .duration_since(std::time::UNIX_EPOCH)
+        .map_or(0, |d| d.as_millis() as u64);
     let types = shared.view.read().types.clone();
-    let mut c = Cluster::new(shared.settings.params.clone(), term, stamp, types, now);
+    let params = shared.settings.params.clone();
+    let mut c = Cluster::new(params, term, stamp, types, now, now_ms);
     if let Some(h) = history {
         c.history.load(&Summary::from(h.value));
     }
