--- a/src/core/placement.rs
+++ b/src/core/placement.rs
@@ -51,7 +51,6 @@
     releases: Vec<(Instant, Need)>,
     up_at: Option<Instant>,
     speed: f64,
-    fill: f64,
     price: f64,
 }
 
@@ -147,6 +146,27 @@
     true
 }
 
+/// A slot scored for one task.
+struct Choice {
+    score: i64,
+    price: f64,
+    left: f64,
+    slot: usize,
+    at: Instant,
+    free_now: bool,
+    est: Duration,
+}
+
+impl Choice {
+    fn beats(&self, other: &Choice) -> bool {
+        self.score
+            .cmp(&other.score)
+            .then(self.price.total_cmp(&other.price))
+            .then(self.left.total_cmp(&other.left))
+            == Ordering::Less
+    }
+}
+
 impl Cluster {
     fn usable(&self, now: Instant, h: &Host) -> bool {
         let fresh = now.saturating_duration_since(h.last_heard) <= self.params.report.mul_f64(2.5);
@@ -206,7 +226,6 @@
                 releases,
                 up_at,
                 speed: h.speed(),
-                fill: h.used.share_of(&t.room),
                 price: price_step(t.price(h.spot) / t.room.cpus.max(1.0)),
             });
         }
@@ -297,8 +316,6 @@
                         s.free.sub(&spec.need);
                         let host = s.id.clone();
                         s.book(now, est + penalties[i], &spec.need);
-                        let room = self.types[s.type_index].room;
-                        s.fill += spec.need.share_of(&room);
                         let attempt = self.next_attempt();
                         log::debug!("placing task={uid}/{index} host={host} est_s={:.1} fetch_s={:.1} term={}", est.as_secs_f64(), penalties[i].as_secs_f64(), self.term.0);
                         self.assign(now, uid, index, &host, attempt, est);
@@ -482,8 +499,9 @@
         }
     }
 
-    /// The slot with the least Avail + Est + penalty; among equals the cheapest, then the fullest, so
-    /// that dear machines and nearly idle ones empty and can be returned.
+    /// The slot with the least Avail + Est + penalty; among equals the cheapest, then the one with the
+    /// least room left: dear and nearly idle machines empty and can be returned, and small tasks
+    /// leave the large machines to large ones.
     fn best(
         &self,
         now: Instant,
@@ -493,7 +511,7 @@
         penalties: &[Duration],
         kept: Duration,
     ) -> Option<(usize, Instant, bool, Duration)> {
-        let mut best: Option<(i64, f64, f64, usize, Instant, bool, Duration)> = None;
+        let mut best: Option<Choice> = None;
         let site_of = self.site_of();
         for (i, s) in slots.iter().enumerate() {
             let t = &self.types[s.type_index];
@@ -509,21 +527,20 @@
             let est = ests[s.type_index].saturating_sub(kept).mul_f64(s.speed);
             let score = at.saturating_duration_since(now) + est + penalties[i];
             let score = (score.as_secs_f64() / RESOLUTION_S).round() as i64;
-            let better = match &best {
-                None => true,
-                Some((bs, bf, bp, ..)) => {
-                    score
-                        .cmp(bs)
-                        .then(s.price.total_cmp(bp))
-                        .then(bf.total_cmp(&s.fill))
-                        == Ordering::Less
-                }
+            let choice = Choice {
+                score,
+                price: s.price,
+                left: s.free.cpus - job.spec.need.cpus,
+                slot: i,
+                at,
+                free_now,
+                est,
             };
-            if better {
-                best = Some((score, s.fill, s.price, i, at, free_now, est));
+            if best.as_ref().is_none_or(|b| choice.beats(b)) {
+                best = Some(choice);
             }
         }
-        best.map(|b| (b.3, b.4, b.5, b.6))
+        best.map(|b| (b.slot, b.at, b.free_now, b.est))
     }
 
     /// A gang starts only when every member has room now.
