--- a/src/core/capacity.rs
+++ b/src/core/capacity.rs
@@ -143,7 +143,7 @@
     fn rent(&mut self, now: Instant, round: &Round) {
         let waiting = &round.waiting;
         if self.types.is_empty()
-            || now.saturating_duration_since(self.started) < self.params.report * 2
+            || now.saturating_duration_since(self.started) < self.params.report.mul_f64(1.3)
         {
             return;
         }
--- a/src/core/placement.rs
+++ b/src/core/placement.rs
@@ -269,6 +269,7 @@
             (std::cmp::Reverse(urgency), !within.contains(u))
         });
         let mut booked: HashMap<TeamName, Need> = HashMap::new();
+        let mut limited = Vec::new();
         for uid in &order {
             if looked >= ROUND_TASKS {
                 break;
@@ -304,6 +305,7 @@
                 .collect();
             for index in pending {
                 if !self.team_allows(&spec, &booked) {
+                    limited.push(uid.clone());
                     break;
                 }
                 let Some(job) = self.jobs.get(uid) else {
@@ -350,6 +352,7 @@
             }
         }
         self.preempt(now, &waiting, &slots, &within);
+        self.preempt_own(now, &limited);
         let spare = slots.into_iter().map(|s| (s.id, s.later)).collect();
         Round { waiting, spare }
     }
@@ -474,6 +477,53 @@
         }
     }
 
+    /// Stops a team's own work of lower urgency where only the team's limit holds up a more urgent
+    /// job of its.
+    fn preempt_own(&mut self, now: Instant, limited: &[Uid]) {
+        let mut chosen: Vec<TaskId> = Vec::new();
+        for uid in limited {
+            let Some(job) = self.jobs.get(uid) else {
+                continue;
+            };
+            let spec = &job.spec;
+            let Some(team) = self.params.teams.iter().find(|t| t.name == spec.owner) else {
+                continue;
+            };
+            if spec.urgency <= Urgency::Standard || spec.kind == JobKind::Gang {
+                continue;
+            }
+            // What is being stopped counts as gone, so that no round stops more than is needed.
+            let mut used = self.usage.get(&spec.owner).copied().unwrap_or_default();
+            let mut victims: Vec<(f64, TaskId, Need)> = Vec::new();
+            for v in self.jobs.values().filter(|v| v.spec.owner == spec.owner) {
+                for (i, a) in &v.active {
+                    let task = v.task(*i);
+                    if a.kill.is_some() || chosen.contains(&task) {
+                        used.sub(&v.spec.need);
+                    } else if v.spec.urgency < spec.urgency && v.spec.kind == JobKind::Batch {
+                        let kept = v.progress.get(i).copied().unwrap_or_default();
+                        if let Some(loss) = victim_loss(now, v, a, kept) {
+                            victims.push((loss, task, v.spec.need));
+                        }
+                    }
+                }
+            }
+            victims.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
+            let wanted = spec.need.times(f64::from(job.waiting_count()));
+            for (_, task, need) in victims {
+                if team.allows(&used, &wanted) || chosen.len() >= ROUND_VICTIMS {
+                    break;
+                }
+                used.sub(&need);
+                chosen.push(task);
+            }
+        }
+        for task in chosen {
+            log::debug!("preempting within the team's limit task={task}");
+            self.kill(now, &task.uid, task.index, Duration::ZERO);
+        }
+    }
+
     fn beyond_guarantee(&self, usage: &HashMap<TeamName, Need>, spec: &JobSpec) -> bool {
         let team = self.params.teams.iter().find(|t| t.name == spec.owner);
         let used = usage.get(&spec.owner).copied().unwrap_or_default();
