A new leader asks listed hosts for their reports; leader lease of 3 s

Cause: after a crash nothing was placed for the 5 s lease and until each worker found the new leader. Ruled out: refused connections as a sign of death (the protocol forbids it).

--- a/src/core/capacity.rs
+++ b/src/core/capacity.rs
@@ -499,6 +499,14 @@
                 h.site = l.site.clone();
                 h.spot = l.spot;
             }
+            let probe = !h.reported && !h.probed && !l.endpoint.is_empty();
+            if probe && l.phase == ListedPhase::Running {
+                h.probed = true;
+                self.actions.push(Action::Probe {
+                    host: l.id.clone(),
+                    endpoint: l.endpoint.clone(),
+                });
+            }
             if l.phase == ListedPhase::Failed && !h.returning {
                 log::info!("host failed host={}", l.id);
                 h.returning = true;
--- a/src/core/cluster.rs
+++ b/src/core/cluster.rs
@@ -188,6 +188,8 @@
     /// The worker has shown a token of this term, so nobody else's answers renew its lease.
     pub fenced: bool,
     pub reported: bool,
+    /// Its report was asked for in this term.
+    pub probed: bool,
     pub known_since: Instant,
     pub last_heard: Instant,
     pub last_answer: Option<Instant>,
@@ -234,6 +236,7 @@
             epoch: Epoch::first(term).next(),
             fenced: false,
             reported: false,
+            probed: false,
             known_since: now,
             last_heard: now,
             last_answer: None,
@@ -287,6 +290,11 @@
         tenure: u64,
         directives: Vec<Directive>,
     },
+    /// Ask a worker for its report: a new leader need not wait for the next one.
+    Probe {
+        host: HostId,
+        endpoint: String,
+    },
     Rent {
         claim: String,
         host_type: TypeName,
--- a/src/net/agent.rs
+++ b/src/net/agent.rs
@@ -34,3 +34,13 @@
         _ => None,
     }
 }
+
+/// The worker's report, without commanding anything.
+pub fn status(agent: &ureq::Agent, endpoint: &str) -> Option<Report> {
+    let address: SocketAddr = endpoint.parse().ok()?;
+    let url = format!("http://{address}/status");
+    let a = http::call::<()>(agent, "GET", &url, None, LIMIT).ok()?;
+    (a.status == 200)
+        .then(|| a.decode::<WireReport>()?.into_report())
+        .flatten()
+}
--- a/src/runtime/duties.rs
+++ b/src/runtime/duties.rs
@@ -46,9 +46,12 @@
     term: Term,
     host: HostId,
     endpoint: String,
-    epoch: Epoch,
-    tenure: u64,
-    directives: Vec<Directive>,
+    what: Order,
+}
+
+enum Order {
+    Commands(Epoch, u64, Vec<Directive>),
+    Status,
 }
 
 pub enum CloudOrder {
@@ -192,15 +195,24 @@
                     term,
                     host: host.clone(),
                     endpoint,
-                    epoch,
-                    tenure,
-                    directives,
+                    what: Order::Commands(epoch, tenure, directives),
                 };
                 if out.agents.try_send(order).is_err() {
                     // The host's next report carries them.
                     c.on_sent(now, &host, None);
                 }
             }
+            Action::Probe { host, endpoint } => {
+                let what = Order::Status;
+                let order = SendOrder {
+                    term,
+                    host,
+                    endpoint,
+                    what,
+                };
+                // When the senders are busy, the host's own report will do.
+                let _ = out.agents.try_send(order);
+            }
             Action::Rent {
                 claim,
                 host_type,
@@ -419,17 +431,22 @@
 }
 
 /// Reads the machine types and the list of machines, while this node leads.
-pub fn cloud_reader(shared: &Shared, bucket: &Bucket) {
+pub fn cloud_reader(shared: &Shared, bucket: &Bucket, wake: &Receiver<()>) {
     let mut next_types = Instant::now();
     let mut next_list = Instant::now();
-    let pause = Duration::from_millis(500);
-    while !shared.stop.wait(pause) {
+    while !shared.stop.stopped() {
+        // Woken by a takeover.
+        let _ = wake.recv_timeout(Duration::from_millis(1000));
         let RoleView::Leader(term) = shared.view.read().role.clone() else {
             next_types = Instant::now();
             next_list = Instant::now();
             continue;
         };
         let now = Instant::now();
+        if now >= next_list && bucket.take(1.0, Rank::User) {
+            next_list = now + Duration::from_secs(15);
+            read_list(shared, term, bucket);
+        }
         if now >= next_types && bucket.take(1.0, Rank::User) {
             next_types = now + Duration::from_secs(5);
             if let Some(t) = shared.cloud.types() {
@@ -443,25 +460,25 @@
                 }
             }
         }
-        if now >= next_list && bucket.take(1.0, Rank::User) {
-            next_list = now + Duration::from_secs(15);
-            let mut from = String::new();
-            let mut all = Vec::new();
-            while let Some((page, more)) = shared.cloud.list(&from) {
-                if let Some(last) = page.last() {
-                    from = last.id.0.clone();
-                }
-                let end = !more || page.is_empty();
-                all.extend(page);
-                if end || !bucket.take(1.0, Rank::Leader) {
-                    break;
-                }
-            }
-            if !all.is_empty() {
-                let _ = shared.events.send(Event::Listed(term, all));
-            }
+    }
+}
+
+fn read_list(shared: &Shared, term: Term, bucket: &Bucket) {
+    let mut from = String::new();
+    let mut all = Vec::new();
+    while let Some((page, more)) = shared.cloud.list(&from) {
+        if let Some(last) = page.last() {
+            from = last.id.0.clone();
+        }
+        let end = !more || page.is_empty();
+        all.extend(page);
+        if end || !bucket.take(1.0, Rank::Leader) {
+            break;
         }
     }
+    if !all.is_empty() {
+        let _ = shared.events.send(Event::Listed(term, all));
+    }
 }
 
 /// Machine types outlive the cloud's outages in the state service.
@@ -492,7 +509,12 @@
 pub fn send_commands(shared: &Shared, orders: &Receiver<SendOrder>) {
     let client = agent::client();
     while let Ok(o) = orders.recv() {
-        let report = agent::send(&client, &o.endpoint, o.epoch, o.tenure, &o.directives);
+        let report = match &o.what {
+            Order::Commands(epoch, tenure, directives) => {
+                agent::send(&client, &o.endpoint, *epoch, *tenure, directives)
+            }
+            Order::Status => agent::status(&client, &o.endpoint),
+        };
         if shared
             .events
             .send(Event::Sent(o.term, o.host, report))
--- a/src/runtime/elector.rs
+++ b/src/runtime/elector.rs
@@ -282,6 +282,7 @@
             Ok((cluster, revision)) => {
                 let event = Event::Lead(Box::new(cluster));
                 if shared.events.send(event).is_ok() {
+                    let _ = shared.wake.try_send(());
                     feed(shared, term, revision, stop);
                 }
                 return;
--- a/src/runtime/service.rs
+++ b/src/runtime/service.rs
@@ -28,6 +28,8 @@
     pub signs: Sender<Sign>,
     pub peers: Vec<Arc<Peer>>,
     pub stop: Stop,
+    /// Wakes the cloud's reader.
+    pub wake: Sender<()>,
     /// Workers that were sent to the leader lately: one that comes back cannot reach it.
     redirected: Mutex<HashMap<String, Instant>>,
 }
@@ -147,6 +149,7 @@
         let (batches, batch_queue) = bounded(1);
         let (orders, order_queue) = bounded(64);
         let (cloud_orders, cloud_queue) = bounded(32);
+        let (wake, wake_queue) = bounded(1);
         let peers: Vec<Arc<Peer>> = settings
             .seeds
             .iter()
@@ -162,6 +165,7 @@
             signs: signs.clone(),
             peers,
             stop: Stop::new(),
+            wake,
             redirected: Mutex::new(HashMap::new()),
         });
         let mut threads = Vec::new();
@@ -194,7 +198,7 @@
         let s = shared.clone();
         spawn(
             "cloud",
-            Box::new(move || duties::cloud_reader(&s, &cloud_bucket)),
+            Box::new(move || duties::cloud_reader(&s, &cloud_bucket, &wake_queue)),
         )?;
         for _ in 0..agents {
             let (s, q) = (shared.clone(), order_queue.clone());
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -58,7 +58,7 @@
 impl Default for Operations {
     fn default() -> Self {
         Operations {
-            leader_lease: Duration::from_millis(5000),
+            leader_lease: Duration::from_millis(3000),
             handlers: 8,
             agents: 4,
             metrics_every: Duration::from_secs(60),
