--- a/src/core/capacity.rs
+++ b/src/core/capacity.rs
@@ -53,6 +53,8 @@
     /// Ordinary machines that may be drained now, by type.
     replaced: HashMap<TypeName, u32>,
     replace_after: Option<Instant>,
+    /// The cloud's list was read in this term.
+    listed: bool,
 }
 
 #[derive(Clone, Debug, PartialEq)]
@@ -142,9 +144,7 @@
 
     fn rent(&mut self, now: Instant, round: &Round) {
         let waiting = &round.waiting;
-        if self.types.is_empty()
-            || now.saturating_duration_since(self.started) < self.params.report.mul_f64(1.3)
-        {
+        if self.types.is_empty() || !self.settled(now) {
             return;
         }
         let mut plan: Vec<Imagined> = Vec::new();
@@ -375,6 +375,14 @@
         }
     }
 
+    /// Whether this term knows what machines there are: the cloud listed them and all of them have
+    /// reported, or they have had time to.
+    fn settled(&self, now: Instant) -> bool {
+        let quiet = |h: &Host| h.booting.is_none() && !h.reported && !h.returning;
+        let all = self.capacity.listed && !self.hosts.values().any(quiet);
+        all || now.saturating_duration_since(self.started) >= self.params.report.mul_f64(1.3)
+    }
+
     fn site_crowd(&self, site: &Site) -> usize {
         self.hosts.values().filter(|h| &h.site == site).count()
     }
@@ -474,6 +482,7 @@
 
     /// The cloud's list: machines that this term did not rent are adopted, failed ones returned.
     pub fn on_list(&mut self, now: Instant, listed: &[Listed]) {
+        self.capacity.listed = true;
         let term = self.term;
         for l in listed {
             if self.is_tombstone(&l.id) {
--- a/src/core/placement.rs
+++ b/src/core/placement.rs
@@ -96,23 +96,22 @@
 }
 
 /// What stopping an attempt at once costs, in seconds of its work. None: it must not be stopped,
-/// since it only just started or will end by itself soon.
-fn victim_loss(now: Instant, job: &Job, a: &Active, kept: Duration) -> Option<f64> {
-    let Some(since) = a.running_since else {
-        // Nothing is lost yet, but its start would be.
-        return None;
-    };
-    let ran = now.saturating_duration_since(since);
+/// since it only just started or will end by itself soon. `counted`: an early stop would also undo
+/// a start that its users were promised.
+fn victim_loss(now: Instant, job: &Job, a: &Active, kept: Duration, counted: bool) -> Option<f64> {
+    let ran = a
+        .running_since
+        .map_or(Duration::ZERO, |s| now.saturating_duration_since(s));
     let rest = a.est.saturating_sub(ran);
-    if ran < VICTIM_RAN || rest < PREEMPT_PATIENCE {
+    if (counted && ran < VICTIM_RAN) || rest < PREEMPT_PATIENCE {
         return None;
     }
     let progress = ran.as_secs_f64() + kept.as_secs_f64();
     let every = job.spec.snapshot_every.as_secs_f64();
-    Some(if every > 0.0 {
-        progress % every
-    } else {
-        progress
+    Some(match (a.running_since, every > 0.0) {
+        (None, _) => 0.0,
+        (_, true) => progress % every,
+        (_, false) => progress,
     })
 }
 
@@ -352,7 +351,7 @@
             }
         }
         self.preempt(now, &waiting, &slots, &within);
-        self.preempt_own(now, &limited);
+        self.preempt_own(now, &limited, &within);
         let spare = slots.into_iter().map(|s| (s.id, s.later)).collect();
         Round { waiting, spare }
     }
@@ -436,7 +435,8 @@
                         continue;
                     }
                     let kept = v.progress.get(&task.index).copied().unwrap_or_default();
-                    if let Some(loss) = victim_loss(now, v, a, kept) {
+                    let counted = within.contains(&task.uid) || self.start_promised(&v.spec);
+                    if let Some(loss) = victim_loss(now, v, a, kept, counted) {
                         victims.push((loss * v.spec.need.share_of(&t.room), task, v));
                     }
                 }
@@ -479,7 +479,7 @@
 
     /// Stops a team's own work of lower urgency where only the team's limit holds up a more urgent
     /// job of its.
-    fn preempt_own(&mut self, now: Instant, limited: &[Uid]) {
+    fn preempt_own(&mut self, now: Instant, limited: &[Uid], within: &HashSet<Uid>) {
         let mut chosen: Vec<TaskId> = Vec::new();
         for uid in limited {
             let Some(job) = self.jobs.get(uid) else {
@@ -502,7 +502,8 @@
                         used.sub(&v.spec.need);
                     } else if v.spec.urgency < spec.urgency && v.spec.kind == JobKind::Batch {
                         let kept = v.progress.get(i).copied().unwrap_or_default();
-                        if let Some(loss) = victim_loss(now, v, a, kept) {
+                        let counted = within.contains(&v.spec.uid) || self.start_promised(&v.spec);
+                        if let Some(loss) = victim_loss(now, v, a, kept, counted) {
                             victims.push((loss, task, v.spec.need));
                         }
                     }
@@ -524,6 +525,12 @@
         }
     }
 
+    /// Whether the users of the class were promised how soon its tasks start.
+    fn start_promised(&self, spec: &JobSpec) -> bool {
+        let promised = |o: &Objective| o.kind == "wait" && o.class.as_ref() == Some(&spec.class);
+        self.params.objectives.iter().any(promised)
+    }
+
     fn beyond_guarantee(&self, usage: &HashMap<TeamName, Need>, spec: &JobSpec) -> bool {
         let team = self.params.teams.iter().find(|t| t.name == spec.owner);
         let used = usage.get(&spec.owner).copied().unwrap_or_default();
