Jobs that can still be on time go before those that cannot

Cause: in arrival order a short overload made every later job late (waveform-archive, blob-gc). Ruled out: more machines (the spot kinds were all rented).

--- a/src/core/capacity.rs
+++ b/src/core/capacity.rs
@@ -124,19 +124,21 @@
         self.repeat_rentals(now);
     }
 
-    /// How long a job can still wait without missing what its users were promised.
-    fn slack(&self, now: Instant, job: &Job, est: Duration) -> Option<Duration> {
-        let promised =
-            |kind: &str, o: &Objective| o.kind == kind && o.class.as_ref() == Some(&job.spec.class);
-        let finish = self
-            .params
+    /// When, from its arrival, a job's users were promised its end.
+    pub(super) fn promised_finish(&self, job: &Job) -> Option<Duration> {
+        self.params
             .objectives
             .iter()
-            .filter(|o| promised("finished", o))
+            .filter(|o| o.kind == "finished" && o.class.as_ref() == Some(&job.spec.class))
             .filter_map(|o| o.within)
             .chain(job.spec.due)
-            .min()?;
+            .min()
+    }
+
+    /// How long a job can still wait without missing what its users were promised.
+    fn slack(&self, now: Instant, job: &Job, est: Duration) -> Option<Duration> {
         let elapsed = now.saturating_duration_since(job.arrived);
+        let finish = self.promised_finish(job)?;
         Some(finish.saturating_sub(elapsed).saturating_sub(est))
     }
 
--- a/src/core/placement.rs
+++ b/src/core/placement.rs
@@ -261,11 +261,16 @@
         let mut waiting = Vec::new();
         let mut looked = 0;
         let within = self.within_guarantee();
-        // Within one urgency, what a team's guarantee covers goes before what is borrowed.
+        // Within one urgency, what a team's guarantee covers goes before what is borrowed, and what
+        // can still be on time before what cannot: in arrival order alone a short overload makes
+        // every job after it late.
         let mut order = self.order.clone();
-        order.sort_by_key(|u| {
-            let urgency = self.jobs.get(u).map_or(Urgency::Idle, |j| j.spec.urgency);
-            (std::cmp::Reverse(urgency), !within.contains(u))
+        order.sort_by_cached_key(|u| {
+            let Some(j) = self.jobs.get(u) else {
+                return (std::cmp::Reverse(Urgency::Idle), true, true);
+            };
+            let late = self.is_late(now, j);
+            (std::cmp::Reverse(j.spec.urgency), !within.contains(u), late)
         });
         let mut booked: HashMap<TeamName, Need> = HashMap::new();
         let mut limited = Vec::new();
@@ -356,6 +361,20 @@
         Round { waiting, spare }
     }
 
+    /// Whether a job will miss its time even if it starts now. One that is overdue by far is no
+    /// longer put off.
+    fn is_late(&self, now: Instant, job: &Job) -> bool {
+        let best = self.types.iter().filter(|t| job.spec.allows_type(&t.name));
+        let Some(est) = best.map(|t| self.history.est(&job.spec, &t.name)).min() else {
+            return false;
+        };
+        let Some(due) = self.promised_finish(job) else {
+            return false;
+        };
+        let age = now.saturating_duration_since(job.arrived);
+        age + est > due && age < due * 3
+    }
+
     /// Jobs that fit into their team's guarantee together with its earlier unfinished jobs.
     fn within_guarantee(&self) -> HashSet<Uid> {
         let mut jobs: Vec<&Job> = self.jobs.values().filter(|j| !j.over()).collect();
