--- a/src/core/capacity.rs
+++ b/src/core/capacity.rs
@@ -17,6 +17,8 @@
 /// After a refusal, the same kind is not asked for again for this long.
 const REFUSED_PAUSE: Duration = Duration::from_secs(12);
 
+/// Work that waits for more than this share of a boot shows that room is short.
+const RENT_SHARE: f64 = 0.7;
 /// Waits beyond a boot that are not worth a machine.
 const RENT_MARGIN: Duration = Duration::from_secs(3);
 
@@ -182,19 +184,27 @@
                 .filter(|t| spec.allows_type(&t.name) && spec.need.fits(&t.room))
                 .map(|t| per_cpu(t, spec.preemptible))
                 .fold(f64::INFINITY, f64::min);
-            // A task booked on a machine that is coming up already waits about a boot's time: only
-            // what waits clearly longer calls for another one, and for a dear one only what would
-            // otherwise miss its time or waits very long.
+            // A task booked on a machine that is coming up has its machine.
+            if w.coming {
+                continue;
+            }
             let worth = |t: &HostType, spot: bool| {
                 let boot = self.capacity.boot_time(t);
                 let Some(wait) = w.wait else {
                     return true;
                 };
-                if per_cpu(t, spot) <= cheapest * DEAR {
-                    return wait > boot.mul_f64(1.2) + RENT_MARGIN;
+                let fetch = self
+                    .history
+                    .fetch_time(&t.name, t.fetch_gb_per_s, spec.image_gb);
+                // A dear machine is only for what would otherwise be late or waits very long.
+                let dear = per_cpu(t, spot) > cheapest * DEAR;
+                let saves = slack.is_some_and(|s| wait > s && boot + fetch <= s);
+                match (dear, saves) {
+                    (false, true) => wait > boot,
+                    (false, false) => wait > boot.mul_f64(RENT_SHARE),
+                    (true, true) => wait > boot.mul_f64(1.2) + RENT_MARGIN,
+                    (true, false) => wait > boot + DEAR_PATIENCE,
                 }
-                let saves = slack.is_some_and(|s| wait > s && boot <= s);
-                (saves && wait > boot.mul_f64(1.2) + RENT_MARGIN) || wait > boot + DEAR_PATIENCE
             };
             let fits_open = plan.iter_mut().find(|m| {
                 let o = &m.offer;
--- a/src/core/placement.rs
+++ b/src/core/placement.rs
@@ -29,6 +29,8 @@
     pub uid: Uid,
     pub wait: Option<Duration>,
     pub est: Duration,
+    /// The machine it is booked on is still coming up and will start it at once.
+    pub coming: bool,
 }
 
 /// What a round leaves for the capacity to see to.
@@ -339,6 +341,7 @@
                             uid: uid.clone(),
                             wait: Some(at.saturating_duration_since(now)),
                             est,
+                            coming: slots[i].up_at == Some(at),
                         });
                     }
                     None => {
@@ -350,6 +353,7 @@
                             uid: uid.clone(),
                             wait: None,
                             est: ests.iter().min().copied().unwrap_or(spec.expected),
+                            coming: false,
                         });
                     }
                 }
@@ -714,6 +718,7 @@
                     uid: uid.clone(),
                     wait: None,
                     est,
+                    coming: false,
                 }));
             }
         }
