--- a/src/core/capacity.rs
+++ b/src/core/capacity.rs
@@ -17,6 +17,8 @@
 /// After a refusal, the same kind is not asked for again for this long.
 const REFUSED_PAUSE: Duration = Duration::from_secs(12);
 
+/// Work that waits for longer than this keeps a machine from being emptied.
+const KEEP_WAIT: Duration = Duration::from_secs(5);
 /// Work that waits for more than this share of a boot shows that room is short.
 const RENT_SHARE: f64 = 0.7;
 /// Waits beyond a boot that are not worth a machine.
@@ -120,6 +122,7 @@
 
 impl Cluster {
     pub(super) fn manage_capacity(&mut self, now: Instant, round: &Round) {
+        self.keep_draining(round);
         self.return_hosts(now);
         self.rent(now, round);
         self.replace_dear(now, round);
@@ -266,15 +269,7 @@
         {
             *counts.entry(m.offer.clone()).or_default() += 1;
         }
-        for (offer, mut n) in counts {
-            // A machine that is being emptied to save money is had sooner and for less.
-            for h in self.hosts.values_mut() {
-                if n > 0 && h.draining && !h.returning && h.host_type == offer.0 && !offer.2 {
-                    log::info!("host is kept after all host={}", h.id);
-                    h.draining = false;
-                    n -= 1;
-                }
-            }
+        for (offer, n) in counts {
             let room = (self.params.tuning.max_hosts)
                 .saturating_sub(self.hosts.len() + self.capacity.pending() as usize);
             let n = n.min(MOST_RENTED).min(room as u32);
@@ -374,6 +369,9 @@
                 }
             }
         }
+        if round.waiting.is_empty() {
+            self.drain_superfluous(now);
+        }
         for (name, n) in std::mem::take(&mut self.capacity.replaced) {
             let mut left = n;
             for h in self.hosts.values_mut() {
@@ -387,6 +385,82 @@
         }
     }
 
+    /// Empties the dearest ordinary machine whose tasks would find room on spot machines by now, with
+    /// the headroom left as it is.
+    fn drain_superfluous(&mut self, now: Instant) {
+        let free: Vec<(HostId, Need)> = self
+            .free_room(now)
+            .into_iter()
+            .filter(|(id, _)| self.hosts.get(id).is_some_and(|h| h.spot))
+            .collect();
+        let headroom = self.headroom();
+        let mut dear: Vec<(f64, &Host)> = self
+            .hosts
+            .values()
+            .filter(|h| h.reported && !h.spot && !h.draining && !h.returning)
+            .filter_map(|h| {
+                let t = self.host_type(&h.host_type)?;
+                (t.hourly > t.low_price * DEAR).then_some((t.hourly, h))
+            })
+            .collect();
+        dear.sort_by(|a, b| b.0.total_cmp(&a.0));
+        let superfluous = dear.into_iter().map(|d| d.1).find(|h| {
+            let mut room = free.clone();
+            let moves = h.placed.iter().all(|(task, need)| {
+                let spot = self.jobs.get(&task.uid).is_none_or(|j| j.spec.preemptible);
+                match room.iter_mut().find(|(_, n)| spot && need.fits(n)) {
+                    Some((_, n)) => {
+                        n.sub(need);
+                        true
+                    }
+                    None => false,
+                }
+            });
+            moves
+                && headroom.iter().all(|(tasks, need)| {
+                    let slots: usize = room.iter().map(|(_, n)| need.count_in(n)).sum();
+                    slots >= *tasks as usize
+                })
+        });
+        if let Some(id) = superfluous.map(|h| h.id.clone()) {
+            if let Some(h) = self.hosts.get_mut(&id) {
+                log::info!("host is emptied, spot machines have room host={id}");
+                h.draining = true;
+            }
+        }
+    }
+
+    /// A machine that is being emptied is paid for in any case: while work waits, it takes some.
+    fn keep_draining(&mut self, round: &Round) {
+        for w in &round.waiting {
+            if w.coming || w.wait.is_some_and(|t| t <= KEEP_WAIT) {
+                continue;
+            }
+            let Some(job) = self.jobs.get(&w.uid) else {
+                continue;
+            };
+            let site_of = |h: &HostId| self.hosts.get(h).map(|h| h.site.clone());
+            let kept = self.hosts.values().find(|h| {
+                let Some(t) = self.host_type(&h.host_type) else {
+                    return false;
+                };
+                let mut free = t.room;
+                free.sub(&h.used);
+                h.draining
+                    && !h.returning
+                    && job.spec.need.fits(&free)
+                    && permits(job, &site_of, &h.host_type, &h.site, h.spot)
+            });
+            if let Some(id) = kept.map(|h| h.id.clone()) {
+                if let Some(h) = self.hosts.get_mut(&id) {
+                    log::info!("host is kept after all host={id}");
+                    h.draining = false;
+                    self.round_due = true;
+                }
+            }
+        }
+    }
+
     /// Whether this term knows what machines there are: the cloud listed them and all of them have
     /// reported, or they have had time to.
     fn settled(&self, now: Instant) -> bool {
