Tables of cases for the core; idle ordinary machines keep their time before they go

Cause: a case of the new tests showed that an idle ordinary machine was emptied and returned at once, even where there was no spot machine at all.

--- a/src/core/capacity.rs
+++ b/src/core/capacity.rs
@@ -404,6 +404,8 @@
             })
             .collect();
         dear.sort_by(|a, b| b.0.total_cmp(&a.0));
+        // Idle ones have their own time to go: a service that has just started has no tasks at all.
+        dear.retain(|d| !d.1.placed.is_empty());
         let superfluous = dear.into_iter().map(|d| d.1).find(|h| {
             let mut room = free.clone();
             let moves = h.placed.iter().all(|(task, need)| {
--- /dev/null
+++ b/tests/decisions.rs
@@ -0,0 +1,479 @@
+//! Placement, preemption, admission, capacity, leadership and history, by cases.
+
+mod common;
+
+use common::*;
+use cypressgap::core::admission::{check, Refusal};
+use cypressgap::core::capacity::Rented;
+use cypressgap::core::cluster::Action;
+use cypressgap::core::history::History;
+use cypressgap::core::leadership::{LeaderRecord, Leadership, Role, Step};
+use cypressgap::core::model::*;
+use cypressgap::runtime::budget::{Bucket, Rank};
+use std::time::{Duration, Instant};
+
+type Edit = fn(&mut JobSpec);
+
+#[test]
+fn admission_cases() {
+    let types = [host_type("m8", 8.0)];
+    let cases: [(&str, Edit, Result<(), Refusal>); 8] = [
+        ("fits", |_| {}, Ok(())),
+        (
+            "unknown team",
+            |s| s.owner = "green".into(),
+            Err(Refusal::UnknownTeam),
+        ),
+        ("too large", |s| s.need = need(9.0), Err(Refusal::NoType)),
+        (
+            "no such type",
+            |s| s.host_types = Some(vec!["g8".into()]),
+            Err(Refusal::NoType),
+        ),
+        (
+            "no such zone",
+            |s| s.site = Some("z".into()),
+            Err(Refusal::NoType),
+        ),
+        (
+            "an array over the limit as a whole",
+            |s| s.shards = 90,
+            Ok(()),
+        ),
+        (
+            "a gang over the limit",
+            |s| {
+                s.kind = JobKind::Gang;
+                s.shards = 9;
+            },
+            Err(Refusal::OverLimit),
+        ),
+        (
+            "a gang at the limit",
+            |s| {
+                s.kind = JobKind::Gang;
+                s.shards = 8;
+            },
+            Ok(()),
+        ),
+    ];
+    for (name, edit, expected) in cases {
+        let mut s = spec("wk-000001", 2, 4.0);
+        edit(&mut s);
+        assert_eq!(check(&s, &params().teams, &types), expected, "{name}");
+    }
+}
+
+#[test]
+fn what_a_job_may_be_launched_on() {
+    // The host offered is an ordinary m8 in zone a.
+    let cases: [(&str, Edit, usize); 6] = [
+        ("anything", |_| {}, 2),
+        ("type", |s| s.host_types = Some(vec!["m9".into()]), 0),
+        ("zone", |s| s.site = Some("b".into()), 0),
+        ("spread: half of two", |s| s.spread = true, 1),
+        (
+            "spread: one of one",
+            |s| {
+                s.spread = true;
+                s.shards = 1;
+            },
+            1,
+        ),
+        ("same place", |s| s.same_place = true, 2),
+    ];
+    for (name, edit, expected) in cases {
+        let mut w = World::new();
+        w.beat("i-1", 1, vec![]);
+        let mut s = spec("wk-000001", 2, 2.0);
+        edit(&mut s);
+        w.job(s);
+        assert_eq!(launches(&w.settle()).len(), expected, "{name}");
+    }
+    // Spot machines only for those that allow them; one zone once a task has chosen it.
+    for (preemptible, same_place, expected) in
+        [(true, false, 3), (false, false, 1), (true, true, 1)]
+    {
+        let mut w = World::new();
+        w.beat("i-1", 1, vec![]);
+        let mut r = World::report("i-2", 1, 1, 0, vec![]);
+        r.spot = true;
+        r.site = "b".into();
+        w.c.on_report(w.now, r, true);
+        let mut s = spec("wk-000001", 3, 4.0);
+        s.preemptible = preemptible;
+        s.same_place = same_place;
+        w.job(s);
+        let sent = launches(&w.settle());
+        if same_place {
+            assert!(sent.windows(2).all(|p| p[0].0 == p[1].0));
+        } else {
+            let ordinary = sent.iter().filter(|l| l.0 == "i-1".into()).count();
+            assert_eq!(sent.len() - ordinary > 0, preemptible);
+            assert!(sent.len() >= expected.min(2), "{}", sent.len());
+        }
+    }
+}
+
+#[test]
+fn the_teams_limit_counts_doubtful_tasks() {
+    let mut w = World::with(params(), vec![host_type("m8", 64.0)]);
+    w.beat("i-1", 1, vec![]);
+    w.job(spec("wk-000001", 20, 4.0));
+    // 32 CPUs at most: eight tasks, whatever else is free.
+    assert_eq!(launches(&w.settle()).len(), 8);
+    w.c.on_withdrawn(w.now, &"wk-000001".into());
+    w.job(spec("wk-000002", 1, 4.0));
+    assert_eq!(launches(&w.settle()), vec![], "the withdrawn may still run");
+    w.c.on_returned(w.now, &["i-1".into()]);
+    w.beat("i-2", 1, vec![]);
+    assert_eq!(launches(&w.settle()).len(), 1);
+}
+
+#[test]
+fn placed_by_avail_est_and_penalty() {
+    // Host 1 has the image; host 2 is empty. A busy host's room comes later.
+    let mut w = World::new();
+    w.beat("i-1", 1, vec![]);
+    w.job(spec("wk-000001", 1, 4.0));
+    let a = launches(&w.settle())[0].2;
+    let running = || vec![shown("wk-000001", 0, a, TaskPhase::Running)];
+    w.beat("i-1", 2, running());
+    w.beat("i-2", 1, vec![]);
+    w.job(spec("wk-000002", 1, 4.0));
+    let sent = launches(&w.settle());
+    assert_eq!(sent[0].0, "i-1".into(), "the image is cached there");
+    w.beat("i-1", 3, running());
+    w.job(spec("wk-000003", 1, 4.0));
+    let sent = launches(&w.settle());
+    assert_eq!(sent[0].0, "i-2".into(), "a fetch is shorter than the wait");
+}
+
+#[test]
+fn a_slow_host_loses_its_draw() {
+    let mut w = World::new();
+    for (n, host) in ["i-1", "i-2"].iter().enumerate() {
+        w.beat(host, 1, vec![]);
+        let h = w.c.hosts.get_mut(&HostId::from(*host)).unwrap();
+        h.images.push_back(("img-1".into(), 2.0));
+        for _ in 0..4 {
+            h.slowness.add(if n == 0 { 1.5 } else { 0.0 });
+        }
+    }
+    w.job(spec("wk-000001", 1, 4.0));
+    assert_eq!(launches(&w.settle())[0].0, "i-2".into());
+}
+
+#[test]
+fn order_of_the_queue() {
+    // Two jobs compete for one place; the second to arrive wins only with the stated edge.
+    let cases: [(&str, Edit, Edit, bool); 4] = [
+        ("arrival", |_| {}, |_| {}, false),
+        ("urgency", |_| {}, |s| s.urgency = Urgency::High, true),
+        (
+            "a guarantee",
+            |s| s.shards = 3,
+            |s| s.owner = "blue".into(),
+            true,
+        ),
+        (
+            "the other is late beyond help",
+            |s| {
+                s.shards = 3;
+                s.due = Some(secs(30));
+            },
+            |s| s.due = Some(secs(500)),
+            true,
+        ),
+    ];
+    for (name, first, second, wins) in cases {
+        let mut w = World::new();
+        let mut s = spec("wk-000001", 1, 8.0);
+        first(&mut s);
+        w.job(s);
+        let mut s = spec("wk-000002", 1, 8.0);
+        second(&mut s);
+        w.job(s);
+        w.beat("i-1", 1, vec![]);
+        let sent = launches(&w.settle());
+        assert_eq!(sent.len(), 1, "{name}");
+        assert_eq!(sent[0].1.uid == "wk-000002".into(), wins, "{name}");
+    }
+}
+
+#[test]
+fn who_is_stopped_for_whom() {
+    // Seconds that the victim ran, edits of the victim and of the claimant -> stopped.
+    let high: Edit = |s| s.urgency = Urgency::High;
+    let blue: Edit = |s| s.owner = "blue".into();
+    let cases: [(&str, u64, Edit, Edit, bool); 6] = [
+        ("higher urgency", 40, |_| {}, high, true),
+        ("same urgency", 40, |_| {}, |_| {}, false),
+        (
+            "a start still promised",
+            10,
+            |s| s.class = "quick".into(),
+            high,
+            false,
+        ),
+        (
+            "a guarantee against borrowed room",
+            40,
+            |s| s.owner = "grey".into(),
+            blue,
+            true,
+        ),
+        ("a guarantee against a guarantee", 40, |_| {}, blue, false),
+        ("about to end by itself", 59, |_| {}, high, false),
+    ];
+    for (name, ran, victim, claimant, stopped) in cases {
+        let mut w = World::new();
+        w.beat("i-1", 1, vec![]);
+        let mut s = spec("wk-000001", 1, 8.0);
+        victim(&mut s);
+        w.job(s);
+        let a = launches(&w.settle())[0].2;
+        let running = || vec![shown("wk-000001", 0, a, TaskPhase::Running)];
+        w.beat("i-1", 2, running());
+        w.pass(secs(ran));
+        w.beat("i-1", 3, running());
+        let mut s = spec("wk-000002", 1, 8.0);
+        claimant(&mut s);
+        w.job(s);
+        w.settle();
+        let kill = w.c.jobs[&Uid::from("wk-000001")].active[&0].kill.is_some();
+        assert_eq!(kill, stopped, "{name}");
+    }
+}
+
+#[test]
+fn a_gang_starts_whole_with_one_attempt_and_ends_whole() {
+    let mut w = World::new();
+    w.beat("i-1", 1, vec![]);
+    let mut s = spec("wk-000001", 3, 4.0);
+    s.kind = JobKind::Gang;
+    w.job(s);
+    assert_eq!(launches(&w.settle()), vec![], "two of three have room");
+    w.beat("i-2", 1, vec![]);
+    let sent = launches(&w.settle());
+    assert_eq!(sent.len(), 3);
+    assert!(sent.iter().all(|l| l.2 == sent[0].2));
+    let on = |h: &str| sent.iter().filter(|l| l.0 == h.into()).collect::<Vec<_>>();
+    let ended = |exit| {
+        move |l: &&(HostId, TaskId, Attempt)| {
+            shown("wk-000001", l.1.index, l.2, TaskPhase::Ended(exit))
+        }
+    };
+    // One lost member ends the attempt: the others are stopped, and only then it starts anew.
+    w.beat("i-2", 2, on("i-2").iter().map(ended(Exit::Peers)).collect());
+    let job = &w.c.jobs[&Uid::from("wk-000001")];
+    assert!(job.active.values().all(|a| a.kill.is_some()));
+    w.beat("i-1", 2, on("i-1").iter().map(ended(Exit::Peers)).collect());
+    let again = launches(&w.settle());
+    assert_eq!(again.len(), 3);
+    assert_ne!(again[0].2, sent[0].2);
+    // All are done when one is, counted once each.
+    let done: Vec<_> = again.iter().filter(|l| l.0 == "i-1".into()).collect();
+    w.beat("i-1", 3, done.iter().map(ended(Exit::Done)).collect());
+    assert_eq!(w.c.jobs[&Uid::from("wk-000001")].done_count, 3);
+}
+
+fn rentals(actions: &[Action]) -> Vec<(String, bool, u32)> {
+    let rent = |a: &Action| match a {
+        Action::Rent {
+            claim,
+            spot,
+            number,
+            ..
+        } => Some((claim.clone(), *spot, *number)),
+        _ => None,
+    };
+    actions.iter().filter_map(rent).collect()
+}
+
+/// A leader whose machines are all known: none.
+fn renting() -> World {
+    let mut w = World::new();
+    w.pass(secs(10));
+    w
+}
+
+#[test]
+fn machines_are_rented_once_for_work_that_waits() {
+    let mut w = renting();
+    w.job(spec("wk-000001", 3, 4.0));
+    let first = rentals(&w.settle());
+    let number: u32 = first.iter().map(|r| r.2).sum();
+    assert_eq!(number, 2, "three tasks of half a machine each");
+    assert!(first.iter().all(|r| r.1), "spot is cheaper and allowed");
+    assert!(first.iter().all(|r| r.0.starts_with("t3-")), "{first:?}");
+    assert_eq!(rentals(&w.settle()), vec![], "asked for already");
+    let names: Vec<HostId> = vec!["i-8".into(), "i-9".into()];
+    let mut left = names.clone();
+    for (claim, _, n) in &first {
+        let given = left.split_off(left.len() - *n as usize);
+        w.c.on_rented(w.now, claim, Rented::Hosts(given));
+    }
+    assert_eq!(rentals(&w.settle()), vec![], "coming up");
+}
+
+#[test]
+fn a_rental_of_unknown_outcome_is_repeated_under_its_claim_and_a_refused_one_is_not() {
+    let mut w = renting();
+    w.job(spec("wk-000001", 1, 4.0));
+    let first = rentals(&w.settle());
+    w.c.on_rented(w.now, &first[0].0, Rented::Unknown);
+    w.pass(secs(3));
+    assert_eq!(rentals(&w.settle()), first);
+    w.c.on_rented(w.now, &first[0].0, Rented::NoCapacity);
+    let other = rentals(&w.settle());
+    assert_ne!(other[0].0, first[0].0, "another kind, another claim");
+}
+
+#[test]
+fn which_hosts_are_returned() {
+    // Spot jobs aside: one host with a given history among others that report.
+    let mut w = renting();
+    for h in ["i-1", "i-2", "i-3"] {
+        w.beat(h, 1, vec![]);
+    }
+    // All three fall silent together: the fault is on our side.
+    w.pass(secs(25));
+    let returned = |w: &World| w.c.hosts.values().filter(|h| h.returning).count();
+    for h in w.c.hosts.values_mut() {
+        h.idle_since = None;
+    }
+    w.settle();
+    assert_eq!(returned(&w), 0);
+    // One alone is returned.
+    for h in ["i-2", "i-3"] {
+        w.beat(h, 2, vec![]);
+    }
+    for h in w.c.hosts.values_mut() {
+        h.idle_since = None;
+    }
+    w.pass(Duration::from_millis(1100));
+    w.settle();
+    assert!(w.c.hosts[&HostId::from("i-1")].returning);
+    assert_eq!(returned(&w), 1);
+}
+
+#[test]
+fn a_listed_machine_is_adopted_and_a_failed_one_returned() {
+    let mut w = renting();
+    let listed = |id: &str, phase| Listed {
+        id: id.into(),
+        endpoint: "127.0.0.1:9".into(),
+        host_type: "m8".into(),
+        site: "a".into(),
+        spot: true,
+        phase,
+        age: secs(4),
+    };
+    let list = [
+        listed("i-1", ListedPhase::Booting),
+        listed("i-2", ListedPhase::Running),
+        listed("i-3", ListedPhase::Failed),
+    ];
+    w.c.on_list(w.now, &list);
+    assert!(w.c.hosts[&HostId::from("i-1")].booting.is_some());
+    assert!(w.c.hosts[&HostId::from("i-3")].returning);
+    let actions = w.settle();
+    let probes = |a: &&Action| matches!(a, Action::Probe { host, .. } if host == &"i-2".into());
+    assert_eq!(actions.iter().filter(probes).count(), 1);
+    w.c.on_returned(w.now, &["i-3".into()]);
+    // The list lags: what was returned does not come back.
+    w.c.on_list(w.now, &list);
+    assert!(!w.c.hosts.contains_key(&"i-3".into()));
+}
+
+#[test]
+fn leadership_cases() {
+    let renew = secs(1);
+    let record = |member: &str, boot, term, stamp| LeaderRecord {
+        member: member.into(),
+        boot,
+        term: Term(term),
+        stamp,
+    };
+    let now = Instant::now();
+    // What the leader key shows to a follower `m0` of boot 1.
+    let cases = [
+        ("absent", None, Step::Campaign { stamp: 0 }),
+        ("another", Some(record("m1", 5, 4, 40)), Step::Wait),
+        (
+            "our own earlier life",
+            Some(record("m0", 9, 4, 40)),
+            Step::Campaign { stamp: 40 },
+        ),
+    ];
+    for (name, key, step) in cases {
+        let mut l = Leadership::new("m0", 1, renew);
+        assert_eq!(l.observed(now, key), step, "{name}");
+    }
+    // What a leader of term 4 makes of what it sees.
+    let cases: [(&str, Option<LeaderRecord>, Step); 4] = [
+        ("itself", Some(record("m0", 1, 4, 40)), Step::Wait),
+        ("an old read", Some(record("m1", 5, 3, 30)), Step::Wait),
+        ("a newer one", Some(record("m1", 5, 5, 50)), Step::StepDown),
+        ("its key gone", None, Step::StepDown),
+    ];
+    for (name, key, step) in cases {
+        let mut l = Leadership::new("m0", 1, renew);
+        l.won(now, Term(4), 40);
+        assert_eq!(l.observed(now, key), step, "{name}");
+    }
+    let mut l = Leadership::new("m0", 1, renew);
+    l.won(now, Term(4), 40);
+    assert_eq!(l.term_seen(Term(4)), Step::Wait);
+    assert_eq!(l.due(now + secs(2)), Step::Renew);
+    // Renewals that fail leave it leading: the state service may be out for all.
+    assert!(matches!(l.role(), Role::Leader { .. }));
+    assert_eq!(l.term_seen(Term(5)), Step::StepDown);
+    let mut l = Leadership::new("m0", 1, renew);
+    l.observed(now, None);
+    l.lost(now, secs(1));
+    assert_eq!(l.due(now), Step::Wait);
+    assert_eq!(l.due(now + secs(2)), Step::Campaign { stamp: 0 });
+}
+
+#[test]
+fn history_goes_from_the_owners_estimate_to_what_was_measured() {
+    let mut h = History::default();
+    let t = TypeName::from("m8");
+    let s = spec("wk-000001", 1, 4.0);
+    assert_eq!(h.est(&s, &t), secs(60), "the owner's word");
+    h.ran(&s, &t, secs(30));
+    assert_eq!(h.est(&s, &t), secs(30), "siblings measured");
+    let mut other = s.clone();
+    other.expected = secs(100);
+    let est = h.est(&other, &t).as_secs_f64();
+    assert!((est - 50.0).abs() < 0.1, "owners were off by half: {est}");
+    // A new leader starts from the summary.
+    let summary = h.summary(100).expect("something is new");
+    assert_eq!(h.summary(100), None);
+    let mut next = History::default();
+    next.load(&summary);
+    assert_eq!(next.est(&s, &t), secs(30));
+    h.fetched(&t, 1.0, 4.0, secs(8));
+    assert_eq!(h.fetch_time(&t, 1.0, 2.0), secs(4));
+}
+
+#[test]
+fn budgets_keep_a_reserve_for_the_leader() {
+    let now = Instant::now();
+    let b = Bucket::new(10.0, 1.0, now);
+    let mut users = 0;
+    while b.take_at(1.0, Rank::User, now) {
+        users += 1;
+    }
+    assert_eq!(users, 7);
+    assert!(b.take_at(3.0, Rank::Leader, now));
+    assert!(!b.take_at(1.0, Rank::Leader, now));
+    assert!(b.take_at(5.0, Rank::Leader, now + Duration::from_millis(500)));
+    // More than the bucket holds goes through when it is full, and is paid back.
+    let later = now + secs(10);
+    assert!(b.take_at(25.0, Rank::Leader, later));
+    assert!(!b.take_at(1.0, Rank::Leader, later + secs(1)));
+    assert!(b.take_at(1.0, Rank::Leader, later + secs(2)));
+}
--- /dev/null
+++ b/tests/evidence.rs
@@ -0,0 +1,389 @@
+//! Intents, fencing and proof: what may be launched when, and when a task counts as gone.
+
+mod common;
+
+use common::*;
+use cypressgap::core::cluster::{Action, Answer, Cluster};
+use cypressgap::core::ledger::{chunk_key, job_key, BatchOutcome, ChunkValue, Verdict, LEADER_KEY};
+use cypressgap::core::model::*;
+
+/// One host, one single-task job placed and launched there; its attempt.
+fn launched() -> (World, Attempt) {
+    let mut w = World::new();
+    w.beat("i-1", 1, vec![]);
+    w.job(spec("wk-000001", 1, 4.0));
+    let sent = launches(&w.settle());
+    assert_eq!(sent.len(), 1);
+    (w, sent[0].2)
+}
+
+#[test]
+fn nothing_is_launched_before_its_intent_is_durable() {
+    let mut w = World::new();
+    w.beat("i-1", 1, vec![]);
+    w.job(spec("wk-000001", 1, 4.0));
+    let batch = w.batch().expect("an intent is written");
+    let keys: Vec<&str> = batch.conditions.iter().map(|c| c.0.as_str()).collect();
+    let uid = Uid::from("wk-000001");
+    // On the term, the intent's own stamp, and the job's not being withdrawn.
+    assert!(keys.contains(&LEADER_KEY));
+    assert!(keys.contains(&chunk_key(&uid, 0).as_str()));
+    assert!(keys.contains(&job_key(&uid).as_str()));
+    let (_, directives) = w.beat("i-1", 2, vec![]);
+    assert_eq!(directives, vec![]);
+    w.c.on_batch(w.now, BatchOutcome::Unknown);
+    let (_, directives) = w.beat("i-1", 3, vec![]);
+    assert_eq!(directives, vec![], "an unknown outcome allows nothing");
+    w.batch().expect("the write is repeated");
+    w.c.on_batch(w.now, BatchOutcome::Applied { revision: 200 });
+    let (_, directives) = w.beat("i-1", 4, vec![]);
+    assert!(matches!(directives[..], [Directive::Launch { .. }]));
+}
+
+#[test]
+fn a_write_that_was_applied_after_all_is_met_and_repeated_on_its_stamp() {
+    let mut w = World::new();
+    w.beat("i-1", 1, vec![]);
+    w.job(spec("wk-000001", 1, 4.0));
+    w.batch().unwrap();
+    w.c.on_batch(w.now, BatchOutcome::Unknown);
+    w.batch().unwrap();
+    let key = chunk_key(&"wk-000001".into(), 0);
+    let found = vec![(key.clone(), 170, None)];
+    assert!(!w.c.on_batch(w.now, BatchOutcome::Failed { found }));
+    let again = w.batch().unwrap();
+    assert!(again.conditions.contains(&(key, 170)));
+}
+
+#[test]
+fn a_write_that_meets_a_newer_leader_ends_the_term() {
+    let mut w = World::new();
+    w.beat("i-1", 1, vec![]);
+    w.job(spec("wk-000001", 1, 4.0));
+    w.batch().unwrap();
+    let found = vec![(LEADER_KEY.to_owned(), STAMP + 9, None)];
+    assert!(w.c.on_batch(w.now, BatchOutcome::Failed { found }));
+}
+
+#[test]
+fn a_job_found_withdrawn_by_its_intents_write_is_never_launched() {
+    let mut w = World::new();
+    w.beat("i-1", 1, vec![]);
+    w.job(spec("wk-000001", 2, 4.0));
+    w.batch().unwrap();
+    let key = job_key(&"wk-000001".into());
+    let found = vec![(key, 180, Some(Verdict::Withdrawn))];
+    w.c.on_batch(w.now, BatchOutcome::Failed { found });
+    assert_eq!(launches(&w.settle()), vec![]);
+    assert_eq!(w.active("wk-000001", 0), None);
+}
+
+#[test]
+fn what_proves_a_withdrawn_task_gone() {
+    // Tenure, serial, token relative to the host's, task listed -> still held to be there.
+    let cases = [
+        ("an older report", 1, 1, 0, false, true),
+        (
+            "a newer one, token not past the launch",
+            1,
+            9,
+            -2,
+            false,
+            true,
+        ),
+        ("token past the launch, task listed", 1, 9, 0, true, true),
+        ("token past the launch, task absent", 1, 9, 0, false, false),
+        ("a later tenure", 2, 1, -2, false, false),
+    ];
+    for (name, tenure, serial, token, listed, held) in cases {
+        let (mut w, attempt) = launched();
+        w.c.on_sent(w.now, &"i-1".into(), None);
+        w.c.on_withdrawn(w.now, &"wk-000001".into());
+        // The kill goes out with a raised token, so that no copy of the launch comes after it.
+        w.settle();
+        let epoch = w.c.hosts[&HostId::from("i-1")].epoch.0 as i64 + token;
+        let tasks = if listed {
+            vec![shown("wk-000001", 0, attempt, TaskPhase::Running)]
+        } else {
+            vec![]
+        };
+        let r = World::report("i-1", tenure, serial, epoch as u64, tasks);
+        w.c.on_report(w.now, r, true);
+        assert_eq!(w.active("wk-000001", 0).is_some(), held, "{name}");
+    }
+}
+
+#[test]
+fn a_task_stays_with_a_silent_host_until_its_lease_has_certainly_run_out() {
+    for (fenced, gone) in [(true, true), (false, false)] {
+        let (mut w, _) = launched();
+        if fenced {
+            // Shows this term's token: from here on only we renew its lease.
+            w.beat("i-1", 5, vec![]);
+        }
+        for h in w.c.hosts.values_mut() {
+            h.returning = true;
+        }
+        w.pass(secs(30));
+        w.c.tick(w.now);
+        assert!(w.active("wk-000001", 0).is_some(), "fenced {fenced}");
+        w.pass(secs(2));
+        w.c.tick(w.now);
+        assert_eq!(w.active("wk-000001", 0).is_none(), gone, "fenced {fenced}");
+    }
+}
+
+#[test]
+fn a_returned_host_is_gone_for_good() {
+    let (mut w, _) = launched();
+    w.c.on_returned(w.now, &["i-1".into()]);
+    assert_eq!(w.active("wk-000001", 0), None);
+    assert_eq!(w.c.jobs[&Uid::from("wk-000001")].pending(9), vec![0]);
+    let late = World::report("i-1", 1, 99, 0, vec![]);
+    assert_eq!(w.c.on_report(w.now, late, true), Answer::Ignore);
+    assert!(w.c.hosts.is_empty());
+}
+
+#[test]
+fn a_report_of_a_higher_term_supersedes() {
+    let mut w = World::new();
+    let higher = Epoch::first(Term(TERM.0 + 1));
+    let r = World::report("i-1", 1, 1, higher.0, vec![]);
+    assert_eq!(
+        w.c.on_report(w.now, r, true),
+        Answer::Superseded(Term(TERM.0 + 1))
+    );
+}
+
+#[test]
+fn a_report_overtaken_by_a_direct_answer_still_renews_the_lease() {
+    let (mut w, attempt) = launched();
+    let epoch = w.c.hosts[&HostId::from("i-1")].epoch.0;
+    let running = vec![shown("wk-000001", 0, attempt, TaskPhase::Running)];
+    let direct = World::report("i-1", 1, 8, epoch, running);
+    w.c.on_sent(w.now, &"i-1".into(), Some(direct));
+    // Sent before the command, arriving after it: its list without the task proves nothing.
+    let (_, directives) = w.beat("i-1", 7, vec![]);
+    assert_eq!(directives, vec![]);
+    assert!(w.active("wk-000001", 0).is_some());
+    assert_eq!(w.c.hosts[&HostId::from("i-1")].last_answer, Some(w.now));
+}
+
+#[test]
+fn forgotten_only_once_the_end_is_durable_and_then_with_a_raised_token() {
+    let (mut w, attempt) = launched();
+    let done = || vec![shown("wk-000001", 0, attempt, TaskPhase::Ended(Exit::Done))];
+    let (before, directives) = w.beat("i-1", 5, done());
+    assert_eq!(directives, vec![], "not written yet");
+    w.settle();
+    let (after, directives) = w.beat("i-1", 6, done());
+    let forget = Directive::Forget {
+        task: task("wk-000001", 0),
+        attempt,
+    };
+    assert_eq!(directives, vec![forget]);
+    // A late copy of the launch would start the task again: the raised token shuts it out.
+    assert!(after > before);
+}
+
+#[test]
+fn how_each_end_is_taken() {
+    let stored = Exit::Stopped { stored: true };
+    // End, done, waits again, host avoided for a while, job held back.
+    let cases = [
+        (Exit::Done, true, false, false, false),
+        (stored, false, true, false, false),
+        (Exit::Error, false, true, true, false),
+        (Exit::NoRoom, false, true, true, false),
+        (Exit::InUse, false, true, true, false),
+        (Exit::Unknown, false, true, false, true),
+    ];
+    for (exit, done, waits, avoided, held_back) in cases {
+        let (mut w, attempt) = launched();
+        w.beat(
+            "i-1",
+            5,
+            vec![shown("wk-000001", 0, attempt, TaskPhase::Ended(exit))],
+        );
+        let j = &w.c.jobs[&Uid::from("wk-000001")];
+        assert_eq!(j.done_count == 1, done, "{exit:?}");
+        assert_eq!(j.pending(9) == vec![0], waits, "{exit:?}");
+        assert_eq!(j.backoff_until.is_some(), held_back, "{exit:?}");
+        let h = &w.c.hosts[&HostId::from("i-1")];
+        assert_eq!(h.avoid_until.is_some(), avoided, "{exit:?}");
+    }
+}
+
+#[test]
+fn a_host_that_fails_two_jobs_is_quarantined_and_a_job_that_fails_everywhere_waits() {
+    let mut w = World::new();
+    w.beat("i-1", 1, vec![]);
+    w.job(spec("wk-000001", 1, 4.0));
+    w.job(spec("wk-000002", 1, 4.0));
+    let sent = launches(&w.settle());
+    assert_eq!(sent.len(), 2);
+    let ends = sent
+        .iter()
+        .map(|(_, t, a)| shown(&t.uid.0, 0, *a, TaskPhase::Ended(Exit::Error)))
+        .collect();
+    w.beat("i-1", 5, ends);
+    assert!(w.c.hosts[&HostId::from("i-1")].quarantined);
+
+    let mut w = World::new();
+    w.job(spec("wk-000001", 1, 4.0));
+    for (n, host) in ["i-1", "i-2", "i-3"].iter().enumerate() {
+        w.beat(host, 1, vec![]);
+        let sent = launches(&w.settle());
+        assert_eq!(sent.len(), 1, "{host}");
+        assert_eq!(&sent[0].0 .0, host, "not where it failed before");
+        let end = shown("wk-000001", 0, sent[0].2, TaskPhase::Ended(Exit::Error));
+        w.beat(host, 5, vec![end]);
+        let held = w.c.jobs[&Uid::from("wk-000001")].backoff_until.is_some();
+        assert_eq!(held, n == 2);
+    }
+}
+
+/// A new leader that loaded one intent for `i-1`.
+fn taken_over() -> (World, Attempt) {
+    let mut patient = params();
+    patient.tuning.idle_ordinary = secs(1000);
+    let mut w = World::with(patient, vec![host_type("m8", 8.0)]);
+    w.job(spec("wk-000001", 1, 4.0));
+    let attempt = Attempt(7);
+    let value = ChunkValue {
+        done: 0,
+        active: vec![(0, attempt, "i-1".into())],
+    };
+    w.c.load_chunk(w.now, &"wk-000001".into(), 0, value, 90);
+    (w, attempt)
+}
+
+#[test]
+fn a_new_leader_leaves_a_loaded_task_where_it_may_be() {
+    let (mut w, attempt) = taken_over();
+    w.beat("i-2", 1, vec![]);
+    assert_eq!(launches(&w.settle()), vec![], "i-1 may have it");
+    // The first report lacks it: the command may be in flight, so the same attempt is sent again.
+    let r = World::report("i-1", 1, 40, Epoch::first(Term(2)).0, vec![]);
+    let Answer::Accept { epoch, directives } = w.c.on_report(w.now, r, true) else {
+        panic!("refused");
+    };
+    assert_eq!(epoch.term(), TERM);
+    let launch = Directive::Launch {
+        task: task("wk-000001", 0),
+        attempt,
+    };
+    assert_eq!(directives, vec![launch]);
+}
+
+#[test]
+fn a_new_leader_returns_a_host_that_never_reports_and_moves_its_task_only_then() {
+    let (mut w, _) = taken_over();
+    let mut returned = false;
+    for _ in 0..20 {
+        w.pass(secs(2));
+        for n in 0..3 {
+            w.beat("i-2", 100 + w.revision * 10 + n, vec![]);
+        }
+        w.revision += 1;
+        for a in w.c.tick(w.now) {
+            match a {
+                Action::Return { hosts } => {
+                    assert_eq!(hosts, vec![HostId::from("i-1")]);
+                    returned = true;
+                }
+                Action::Store(_) => {
+                    let revision = w.revision;
+                    w.c.on_batch(w.now, BatchOutcome::Applied { revision });
+                }
+                _ => {}
+            }
+        }
+    }
+    assert!(returned);
+    assert_eq!(w.active("wk-000001", 0).unwrap().0, "i-1".into());
+    w.c.on_returned(w.now, &["i-1".into()]);
+    let sent = launches(&w.settle());
+    assert_eq!(sent[0].0, "i-2".into());
+}
+
+#[test]
+fn a_stray_is_killed_and_an_unknown_end_forgotten() {
+    let mut w = World::new();
+    let tasks = vec![
+        shown("wk-000009", 0, Attempt(3), TaskPhase::Running),
+        shown("wk-000009", 1, Attempt(3), TaskPhase::Ended(Exit::Done)),
+    ];
+    let (_, d) = w.beat("i-1", 1, tasks);
+    assert!(matches!(
+        d[..],
+        [Directive::Kill { .. }, Directive::Forget { .. }]
+    ));
+}
+
+#[test]
+fn an_overdue_withdrawal_costs_its_host() {
+    let (mut w, attempt) = launched();
+    w.c.on_withdrawn(w.now, &"wk-000001".into());
+    for serial in 10..30 {
+        w.pass(secs(1));
+        let running = vec![shown("wk-000001", 0, attempt, TaskPhase::Running)];
+        w.beat("i-1", serial, running);
+        w.settle();
+    }
+    assert!(w.c.hosts[&HostId::from("i-1")].returning);
+}
+
+#[test]
+fn a_done_job_is_recorded_on_the_stamp_of_its_acceptance() {
+    let (mut w, attempt) = launched();
+    let stamp = w.c.jobs[&Uid::from("wk-000001")].stamp;
+    let done = shown("wk-000001", 0, attempt, TaskPhase::Ended(Exit::Done));
+    w.beat("i-1", 5, vec![done]);
+    let batch = w.batch().unwrap();
+    let condition = (job_key(&"wk-000001".into()), stamp);
+    assert!(batch.conditions.contains(&condition));
+    w.c.on_batch(w.now, BatchOutcome::Applied { revision: 300 });
+    assert!(w.c.jobs.is_empty());
+}
+
+#[test]
+fn large_jobs_are_written_in_chunks_within_a_transactions_limits() {
+    let mut big = params();
+    big.teams[0].cpus_max = None;
+    let mut w = World::with(big, vec![host_type("m8", 10_000.0)]);
+    w.beat("i-1", 1, vec![]);
+    w.job(spec("wk-000001", 100_000, 1.0));
+    for _ in 0..20 {
+        w.pass(secs(1));
+        let serial = w.revision;
+        w.beat("i-1", serial, vec![]);
+        if let Some(b) = w.batch() {
+            assert!(b.ops.len() <= 24 && b.conditions.len() <= 4 * 24);
+            w.revision += 1;
+            let revision = w.revision;
+            w.c.on_batch(w.now, BatchOutcome::Applied { revision });
+        }
+    }
+    assert!(w.c.jobs[&Uid::from("wk-000001")].active.len() > 1000);
+}
+
+#[test]
+fn attempts_are_unique_over_terms() {
+    let mut seen = std::collections::HashSet::new();
+    for term in 1..4 {
+        let now = std::time::Instant::now();
+        let types = vec![host_type("m8", 8.0)];
+        let mut w = World {
+            c: Cluster::new(params(), Term(term), STAMP, types, now, 0),
+            now,
+            revision: 100,
+        };
+        w.beat("i-1", 1, vec![]);
+        w.job(spec("wk-000001", 2, 2.0));
+        for (_, _, attempt) in launches(&w.settle()) {
+            assert!(seen.insert(attempt));
+        }
+    }
+    assert_eq!(seen.len(), 6);
+}
