--- /dev/null
+++ b/tests/standins/mod.rs
@@ -0,0 +1,481 @@
+//! Stand-ins for the state service, the cloud and a worker, by their published protocol, on
+//! loopback. They serve the end-to-end tests and hold just what those need.
+
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::io::Read;
+use std::net::{SocketAddr, TcpListener};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Condvar, Mutex};
+use std::time::{Duration, Instant};
+use tiny_http::{Method, Response, Server};
+
+/// Any MessagePack value, kept as it came.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(untagged)]
+pub enum Any {
+    Nil(()),
+    Bool(bool),
+    Int(u64),
+    Float(f64),
+    Text(String),
+    List(Vec<Any>),
+    Map(BTreeMap<String, Any>),
+}
+
+pub fn map<const N: usize>(items: [(&str, Any); N]) -> Any {
+    Any::Map(items.into_iter().map(|(k, v)| (k.to_owned(), v)).collect())
+}
+
+impl Any {
+    pub fn get(&self, key: &str) -> Option<&Any> {
+        match self {
+            Any::Map(m) => m.get(key),
+            _ => None,
+        }
+    }
+    pub fn text(&self, key: &str) -> String {
+        match self.get(key) {
+            Some(Any::Text(t)) => t.clone(),
+            _ => String::new(),
+        }
+    }
+    pub fn int(&self, key: &str) -> u64 {
+        match self.get(key) {
+            Some(Any::Int(n)) => *n,
+            _ => 0,
+        }
+    }
+    pub fn list(&self, key: &str) -> Vec<Any> {
+        match self.get(key) {
+            Some(Any::List(l)) => l.clone(),
+            _ => Vec::new(),
+        }
+    }
+}
+
+pub fn t(s: &str) -> Any {
+    Any::Text(s.to_owned())
+}
+
+pub fn free_port() -> SocketAddr {
+    let l = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    l.local_addr().expect("its address")
+}
+
+type Answer = (u16, Any);
+
+/// Serves requests, each in a thread of its own, until the process ends.
+fn serve(handle: impl Fn(&Method, &str, Any) -> Answer + Send + Sync + 'static) -> SocketAddr {
+    let server = Server::http("127.0.0.1:0").expect("a stand-in listens");
+    let address = server.server_addr().to_ip().expect("an IP address");
+    let handle = Arc::new(handle);
+    std::thread::spawn(move || {
+        for mut request in server.incoming_requests() {
+            let handle = handle.clone();
+            std::thread::spawn(move || {
+                let mut body = Vec::new();
+                let _ = request.as_reader().read_to_end(&mut body);
+                let body = rmp_serde::from_slice(&body).unwrap_or(Any::Nil(()));
+                let (status, answer) = handle(request.method(), &request.url().to_owned(), body);
+                let bytes = rmp_serde::to_vec_named(&answer).expect("an answer");
+                let response = Response::from_data(bytes).with_status_code(status);
+                let _ = request.respond(response);
+            });
+        }
+    });
+    address
+}
+
+#[derive(Default)]
+struct Ledger {
+    keys: BTreeMap<String, (Any, u64, Option<u64>)>,
+    revision: u64,
+    log: Vec<(u64, String, Option<Any>)>,
+    leases: BTreeMap<u64, (Instant, Duration)>,
+}
+
+impl Ledger {
+    fn expire(&mut self) {
+        let now = Instant::now();
+        let over: Vec<u64> = self
+            .leases
+            .iter()
+            .filter(|(_, (t, life))| now.duration_since(*t) > *life)
+            .map(|(id, _)| *id)
+            .collect();
+        for id in over {
+            self.end_lease(id);
+        }
+    }
+    fn end_lease(&mut self, id: u64) {
+        self.leases.remove(&id);
+        let bound: Vec<String> = self
+            .keys
+            .iter()
+            .filter(|(_, v)| v.2 == Some(id))
+            .map(|(k, _)| k.clone())
+            .collect();
+        if !bound.is_empty() {
+            self.revision += 1;
+        }
+        for key in bound {
+            self.keys.remove(&key);
+            self.log.push((self.revision, key, None));
+        }
+    }
+}
+
+/// The state service, with a switch for outages.
+#[derive(Clone)]
+pub struct StateService {
+    ledger: Arc<(Mutex<Ledger>, Condvar)>,
+    pub out: Arc<AtomicBool>,
+    pub address: SocketAddr,
+}
+
+impl StateService {
+    pub fn start() -> StateService {
+        let ledger: Arc<(Mutex<Ledger>, Condvar)> = Arc::default();
+        let out = Arc::new(AtomicBool::new(false));
+        let (l, o) = (ledger.clone(), out.clone());
+        let address = serve(move |method, url, body| {
+            if o.load(Ordering::SeqCst) {
+                return (503, Any::Nil(()));
+            }
+            answer(&l, method, url, &body)
+        });
+        StateService {
+            ledger,
+            out,
+            address,
+        }
+    }
+
+    pub fn keys(&self, prefix: &str) -> Vec<String> {
+        let l = self.ledger.0.lock().expect("the ledger");
+        let keys = l.keys.keys().filter(|k| k.starts_with(prefix));
+        keys.cloned().collect()
+    }
+}
+
+fn query(url: &str, name: &str) -> Option<String> {
+    let (_, q) = url.split_once('?')?;
+    q.split('&')
+        .find_map(|p| p.strip_prefix(&format!("{name}=")))
+        .map(str::to_owned)
+}
+
+fn answer(state: &(Mutex<Ledger>, Condvar), method: &Method, url: &str, body: &Any) -> Answer {
+    let path = url.split('?').next().unwrap_or(url);
+    let mut l = state.0.lock().expect("the ledger");
+    l.expire();
+    let rev = |l: &Ledger| Any::Int(l.revision);
+    match (method, path) {
+        (Method::Get, "/store") => {
+            let (under, from) = (query(url, "Under"), query(url, "From"));
+            let (under, from) = (under.unwrap_or_default(), from.unwrap_or_default());
+            let pairs = l
+                .keys
+                .iter()
+                .filter(|(k, _)| k.starts_with(&under) && **k > from)
+                .map(|(k, v)| map([("Path", t(k)), ("V", v.0.clone()), ("Stamp", Any::Int(v.1))]))
+                .collect();
+            let more = Any::Bool(false);
+            let answer = [
+                ("Pairs", Any::List(pairs)),
+                ("HasNext", more),
+                ("LedgerRev", rev(&l)),
+            ];
+            (200, map(answer))
+        }
+        (Method::Get, "/follow") => {
+            let under = query(url, "Under").unwrap_or_default();
+            let number = |n: &str| query(url, n).and_then(|v| v.parse().ok()).unwrap_or(0u64);
+            let from = number("From");
+            let until = Instant::now() + Duration::from_millis(number("BlockMs"));
+            loop {
+                l.expire();
+                let log: Vec<Any> = l
+                    .log
+                    .iter()
+                    .filter(|(r, k, _)| *r > from && k.starts_with(&under))
+                    .map(|(r, k, v)| match v {
+                        Some(v) => map([("Put", t(k)), ("V", v.clone()), ("Stamp", Any::Int(*r))]),
+                        None => map([("Delete", t(k)), ("Stamp", Any::Int(*r))]),
+                    })
+                    .collect();
+                if !log.is_empty() || Instant::now() >= until {
+                    let answer = [("LedgerRev", rev(&l)), ("Log", Any::List(log))];
+                    return (200, map(answer));
+                }
+                let pause = Duration::from_millis(20);
+                l = state.1.wait_timeout(l, pause).expect("the ledger").0;
+            }
+        }
+        (Method::Get, p) => match p.strip_prefix("/store/").and_then(|k| l.keys.get(k)) {
+            Some(v) => (200, map([("V", v.0.clone()), ("Stamp", Any::Int(v.1))])),
+            None => (404, map([("LedgerRev", rev(&l))])),
+        },
+        (Method::Post, "/leases") => {
+            l.revision += 1;
+            let id = l.revision;
+            let life = Duration::from_millis(body.int("LifeMs"));
+            l.leases.insert(id, (Instant::now(), life));
+            (200, map([("Permit", Any::Int(id))]))
+        }
+        (Method::Post, "/txn") => {
+            let failed: Vec<Any> = body
+                .list("If")
+                .iter()
+                .filter(|c| {
+                    let found = l.keys.get(&c.text("Path")).map_or(0, |v| v.1);
+                    found != c.int("Stamp")
+                })
+                .map(|c| t(&c.text("Path")))
+                .collect();
+            if !failed.is_empty() {
+                let answer = [("failed", Any::List(failed)), ("LedgerRev", rev(&l))];
+                return (409, map(answer));
+            }
+            l.revision += 1;
+            let revision = l.revision;
+            for op in body.list("Apply") {
+                let permit = match op.get("Permit") {
+                    Some(Any::Int(n)) => Some(*n),
+                    _ => None,
+                };
+                if permit.is_some_and(|p| !l.leases.contains_key(&p)) {
+                    return (400, map([("error", t("no such lease"))]));
+                }
+                let (put, delete) = (op.text("Put"), op.text("Delete"));
+                if delete.is_empty() {
+                    let v = op.get("V").cloned().unwrap_or(Any::Nil(()));
+                    l.keys.insert(put.clone(), (v.clone(), revision, permit));
+                    l.log.push((revision, put, Some(v)));
+                } else {
+                    l.keys.remove(&delete);
+                    l.log.push((revision, delete, None));
+                }
+            }
+            state.1.notify_all();
+            (200, map([("LedgerRev", rev(&l))]))
+        }
+        (Method::Post | Method::Delete, p) => {
+            let id = p.split('/').nth(2).and_then(|i| i.parse().ok());
+            let id = id.unwrap_or(0u64);
+            if method == &Method::Delete {
+                l.end_lease(id);
+                return (200, Any::Nil(()));
+            }
+            match l.leases.get_mut(&id) {
+                Some(lease) => {
+                    lease.0 = Instant::now();
+                    (200, Any::Nil(()))
+                }
+                None => (404, Any::Nil(())),
+            }
+        }
+        _ => (400, Any::Nil(())),
+    }
+}
+
+/// The cloud: one machine type, and no machines beyond the worker that the test starts itself.
+pub fn start_cloud() -> SocketAddr {
+    serve(|method, url, _| match (method, url) {
+        (Method::Get, "/machine_types") => {
+            let kind = map([
+                ("Name", t("m8")),
+                ("Vcpus", Any::Float(8.0)),
+                ("Gpus", Any::Float(0.0)),
+                ("MemoryGb", Any::Float(32.0)),
+                ("CacheGb", Any::Float(50.0)),
+                ("FetchGbPerS", Any::Float(1.0)),
+                ("Hourly", Any::Float(4.0)),
+                ("LowPrice", Any::Float(1.0)),
+                ("BootS", Any::Float(30.0)),
+                ("Sites", Any::List(vec![t("hall-a")])),
+            ]);
+            (200, map([("HostTypes", Any::List(vec![kind]))]))
+        }
+        (Method::Get, _) => {
+            let none = Any::List(Vec::new());
+            (200, map([("Hosts", none), ("HasNext", Any::Bool(false))]))
+        }
+        (_, "/hosts/return") => (200, Any::Nil(())),
+        _ => (503, map([("error", t("no capacity"))])),
+    })
+}
+
+#[derive(Clone, Debug, PartialEq)]
+struct Held {
+    attempt: u64,
+    started: Instant,
+    why: Option<&'static str>,
+}
+
+#[derive(Default)]
+struct Machine {
+    tasks: BTreeMap<String, Held>,
+    epoch: u64,
+    starts: Vec<(String, u64)>,
+}
+
+/// One machine: reports, and runs each task for as long as the test says.
+#[derive(Clone)]
+pub struct Worker {
+    machine: Arc<Mutex<Machine>>,
+    serial: Arc<AtomicU64>,
+    endpoint: String,
+    name: &'static str,
+    run: Duration,
+}
+
+impl Worker {
+    pub fn start(name: &'static str, run: Duration, nodes: Vec<(String, SocketAddr)>) -> Worker {
+        let machine: Arc<Mutex<Machine>> = Arc::default();
+        let serial = Arc::new(AtomicU64::new(1));
+        let mut worker = Worker {
+            machine,
+            serial,
+            endpoint: String::new(),
+            name,
+            run,
+        };
+        let w = worker.clone();
+        let address = serve(move |method, url, body| {
+            if method == &Method::Post && url == "/commands" {
+                let executed = w.take(&body);
+                let status = if executed { 200 } else { 409 };
+                return (status, w.report());
+            }
+            (200, w.report())
+        });
+        worker.endpoint = address.to_string();
+        let w = worker.clone();
+        std::thread::spawn(move || w.beats(&nodes));
+        worker
+    }
+
+    /// Tasks started so far, with their attempts.
+    pub fn starts(&self) -> Vec<(String, u64)> {
+        self.machine.lock().expect("the machine").starts.clone()
+    }
+
+    /// Tasks on the machine that have not ended.
+    pub fn running(&self) -> usize {
+        let m = self.machine.lock().expect("the machine");
+        m.tasks.values().filter(|h| h.why.is_none()).count()
+    }
+
+    fn take(&self, body: &Any) -> bool {
+        let mut m = self.machine.lock().expect("the machine");
+        if body.int("Epoch") < m.epoch {
+            return false;
+        }
+        m.epoch = body.int("Epoch");
+        for d in body.list("Directives") {
+            let (shard, attempt) = (d.text("Shard"), d.int("Try"));
+            match d.text("Verb").as_str() {
+                "launch" if !m.tasks.contains_key(&shard) => {
+                    m.starts.push((shard.clone(), attempt));
+                    let held = Held {
+                        attempt,
+                        started: Instant::now(),
+                        why: None,
+                    };
+                    m.tasks.insert(shard, held);
+                }
+                "kill" => {
+                    if let Some(h) = m.tasks.get_mut(&shard).filter(|h| h.why.is_none()) {
+                        h.why = Some("stopped");
+                    }
+                }
+                "forget" => {
+                    m.tasks.retain(|s, h| s != &shard || h.attempt != attempt);
+                }
+                _ => {}
+            }
+        }
+        true
+    }
+
+    fn report(&self) -> Any {
+        let mut m = self.machine.lock().expect("the machine");
+        for h in m.tasks.values_mut() {
+            if h.why.is_none() && h.started.elapsed() >= self.run {
+                h.why = Some("done");
+            }
+        }
+        let tasks = m
+            .tasks
+            .iter()
+            .map(|(s, h)| {
+                let phase = if h.why.is_some() { "ended" } else { "running" };
+                let mut task = BTreeMap::from([
+                    ("Shard".to_owned(), t(s)),
+                    ("Try".to_owned(), Any::Int(h.attempt)),
+                    ("Phase".to_owned(), t(phase)),
+                ]);
+                if let Some(why) = h.why {
+                    task.insert("ExitReason".to_owned(), t(why));
+                }
+                Any::Map(task)
+            })
+            .collect();
+        map([
+            ("Host", t(self.name)),
+            ("Endpoint", t(&self.endpoint)),
+            ("HostType", t("m8")),
+            ("Site", t("hall-a")),
+            ("Preemptible", Any::Bool(false)),
+            ("Tenure", Any::Int(1)),
+            (
+                "Serial",
+                Any::Int(self.serial.fetch_add(1, Ordering::SeqCst)),
+            ),
+            ("Epoch", Any::Int(m.epoch)),
+            ("Shards", Any::List(tasks)),
+        ])
+    }
+
+    fn beats(&self, nodes: &[(String, SocketAddr)]) {
+        let mut at = 0;
+        loop {
+            let (status, body) = call("POST", nodes[at].1, "/agent/beat", Some(&self.report()));
+            match status {
+                200 => {
+                    self.take(&body);
+                }
+                421 => {
+                    let named = body.text("Controller");
+                    let found = nodes.iter().position(|n| n.0 == named);
+                    at = found.unwrap_or((at + 1) % nodes.len());
+                }
+                _ => at = (at + 1) % nodes.len(),
+            }
+            std::thread::sleep(Duration::from_millis(100));
+        }
+    }
+}
+
+/// One call; status 0: no answer.
+pub fn call(method: &str, address: SocketAddr, path: &str, body: Option<&Any>) -> (u16, Any) {
+    let request =
+        ureq::request(method, &format!("http://{address}{path}")).timeout(Duration::from_secs(4));
+    let sent = match body {
+        Some(b) => request.send_bytes(&rmp_serde::to_vec_named(b).expect("a body")),
+        None if method == "POST" => request.send_bytes(&[]),
+        None => request.call(),
+    };
+    match sent {
+        Ok(r) | Err(ureq::Error::Status(_, r)) => {
+            let status = r.status();
+            let mut bytes = Vec::new();
+            let _ = r.into_reader().read_to_end(&mut bytes);
+            let body = rmp_serde::from_slice(&bytes).unwrap_or(Any::Nil(()));
+            (status, body)
+        }
+        Err(_) => (0, Any::Nil(())),
+    }
+}
--- /dev/null
+++ b/tests/wire.rs
@@ -0,0 +1,199 @@
+//! Bodies from outside, well-formed and not.
+
+use cypressgap::core::model::*;
+use cypressgap::net::peer::{read_frame, write_frame, Ask, Hello};
+use cypressgap::net::wire::{decode, encode, StoredJob, Submission, WireReport};
+use serde::Serialize;
+use std::collections::BTreeMap;
+
+#[derive(Clone, Serialize)]
+#[serde(untagged)]
+enum V {
+    T(&'static str),
+    F(f64),
+    I(i64),
+    B(bool),
+    N(Option<()>),
+    L(Vec<V>),
+    M(BTreeMap<&'static str, V>),
+}
+
+fn submission() -> BTreeMap<&'static str, V> {
+    BTreeMap::from([
+        ("Uid", V::T("wk-000412")),
+        ("JobClass", V::T("train")),
+        ("Owner", V::T("vision")),
+        ("JobKind", V::T("group")),
+        ("Urgency", V::T("high")),
+        ("Shards", V::I(16)),
+        ("Vcpus", V::F(8.0)),
+        ("Gpus", V::F(1.0)),
+        ("MemoryGb", V::F(64.0)),
+        ("ImageRef", V::T("img-07")),
+        ("PullGb", V::F(6.2)),
+        ("HostTypes", V::L(vec![V::T("g8")])),
+        ("Site", V::N(None)),
+        ("SamePlace", V::B(true)),
+        ("Spread", V::B(false)),
+        ("Preemptible", V::B(true)),
+        ("ExpectedS", V::F(240.0)),
+        ("SnapshotEveryS", V::F(30.0)),
+        ("SnapshotS", V::F(4.0)),
+        ("DueS", V::F(900.0)),
+    ])
+}
+
+fn read(m: &BTreeMap<&'static str, V>) -> Result<JobSpec, &'static str> {
+    decode::<Submission>(&encode(m))
+        .ok_or("body")
+        .and_then(|s| s.to_spec(7))
+}
+
+#[test]
+fn submissions() {
+    let spec = read(&submission()).unwrap();
+    assert_eq!((spec.shards, spec.kind), (16, JobKind::Gang));
+    // What the state service gives back is the same job.
+    let stored: StoredJob = decode(&encode(&StoredJob::from(&spec))).unwrap();
+    assert_eq!(stored.into_spec(), Some(spec));
+
+    let fine = [
+        ("Vcpus", V::I(8)),
+        ("DueS", V::N(None)),
+        ("HostTypes", V::N(None)),
+        ("Novelty", V::M(BTreeMap::from([("a", V::I(1))]))),
+        ("SnapshotEveryS", V::F(0.0)),
+        ("Shards", V::I(100_000)),
+    ];
+    for (field, value) in fine {
+        let mut m = submission();
+        m.insert(field, value);
+        assert!(read(&m).is_ok(), "{field}");
+    }
+    for field in ["Site", "DueS", "HostTypes"] {
+        let mut m = submission();
+        m.remove(field);
+        assert!(read(&m).is_ok(), "{field} may be omitted");
+    }
+    let bad = [
+        ("Uid", V::T("job-1")),
+        ("Uid", V::T("wk-")),
+        ("Uid", V::T("wk-12/3")),
+        ("Uid", V::I(412)),
+        ("JobKind", V::T("swarm")),
+        ("Urgency", V::T("soon")),
+        ("Shards", V::I(0)),
+        ("Shards", V::I(-1)),
+        ("Shards", V::I(100_001)),
+        ("Shards", V::F(2.5)),
+        ("Vcpus", V::F(-1.0)),
+        ("Vcpus", V::F(f64::NAN)),
+        ("MemoryGb", V::F(f64::INFINITY)),
+        ("ExpectedS", V::F(1e300)),
+        ("DueS", V::F(-1.0)),
+        ("HostTypes", V::T("g8")),
+        ("ImageRef", V::T("")),
+        ("Spread", V::N(None)),
+        ("SamePlace", V::I(1)),
+    ];
+    for (field, value) in bad {
+        let mut m = submission();
+        m.insert(field, value);
+        assert!(read(&m).is_err(), "{field}");
+    }
+    let optional = ["Site", "DueS", "HostTypes"];
+    for field in submission().keys().filter(|f| !optional.contains(f)) {
+        let mut m = submission();
+        m.remove(field);
+        assert!(read(&m).is_err(), "{field} is missing");
+    }
+}
+
+#[test]
+fn bodies_that_are_no_submission() {
+    let deep = [vec![0x91u8; 5000], vec![0xc0]].concat();
+    let cases: [&[u8]; 6] = [
+        b"",
+        b"\xc1",
+        b"{\"Uid\":1}",
+        &[0x93, 1, 2, 3],
+        &[0x81],
+        &deep,
+    ];
+    for body in cases {
+        let m = decode::<Submission>(body).ok_or("body");
+        assert!(m.and_then(|s| s.to_spec(0)).is_err(), "{body:?}");
+    }
+}
+
+#[test]
+fn reports() {
+    let task = |name, phase, why: Option<&'static str>| {
+        let mut m = BTreeMap::from([
+            ("Shard", V::T(name)),
+            ("Try", V::I(2)),
+            ("Phase", V::T(phase)),
+        ]);
+        if let Some(w) = why {
+            m.insert("ExitReason", V::T(w));
+        }
+        V::M(m)
+    };
+    let report = |tasks: Vec<V>| {
+        let m = BTreeMap::from([
+            ("Host", V::T("i-000231")),
+            ("Endpoint", V::T("10.1.0.232:9000")),
+            ("HostType", V::T("g8")),
+            ("Site", V::T("a")),
+            ("Preemptible", V::B(true)),
+            ("Tenure", V::I(1)),
+            ("Serial", V::I(88)),
+            ("Epoch", V::I(41)),
+            ("EvictionS", V::N(None)),
+            ("Shards", V::L(tasks)),
+        ]);
+        decode::<WireReport>(&encode(&m)).and_then(|r| r.into_report())
+    };
+    let cases = [
+        ("fetching", None, Some(TaskPhase::Fetching)),
+        ("gathering", None, Some(TaskPhase::Gathering)),
+        ("flushing", None, Some(TaskPhase::Flushing)),
+        ("ended", Some("done"), Some(TaskPhase::Ended(Exit::Done))),
+        ("ended", Some("novel"), Some(TaskPhase::Ended(Exit::Error))),
+        ("ended", None, None),
+        ("sleeping", None, None),
+    ];
+    for (phase, why, expected) in cases {
+        let read = report(vec![task("wk-000412/3", phase, why)]);
+        assert_eq!(read.map(|r| r.tasks[0].phase), expected, "{phase}");
+    }
+    // Leaving an unreadable task out would look like proof that it is gone.
+    let odd = report(vec![
+        task("wk-000412/3", "running", None),
+        task("x", "running", None),
+    ]);
+    assert_eq!(odd, None);
+}
+
+#[test]
+fn peer_frames() {
+    let hello = Ask::Hello(Hello {
+        member: "worker-1".into(),
+        leads: Some(4),
+        highest: 4,
+        store_ok: true,
+        progress: vec![("wk-000001".into(), 1, 2)],
+        over: vec![],
+    });
+    let mut wire = Vec::new();
+    write_frame(&mut wire, &hello).unwrap();
+    assert_eq!(read_frame::<Ask>(&mut wire.as_slice()).unwrap(), hello);
+    let bad: [&[u8]; 3] = [
+        &wire[..wire.len() - 1],
+        &[255, 255, 255, 255, 0],
+        &[1, 0, 0, 0, 9],
+    ];
+    for frame in bad {
+        assert!(read_frame::<Ask>(&mut &frame[..]).is_err());
+    }
+}
