--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -380,9 +380,12 @@
     match result {
         Ok(Txn::Applied { .. }) => {
             log::debug!(
-                "accepted job={uid} class={} shards={}",
+                "accepted job={uid} class={} shards={} cpus={:.1} expected_s={:.1} due_s={:.1}",
                 spec.class,
-                spec.shards
+                spec.shards,
+                spec.need.cpus,
+                spec.expected.as_secs_f64(),
+                spec.due.unwrap_or_default().as_secs_f64()
             );
             ((201, state(shared, &uid, Verdict::Live, false)), None)
         }
