--- a/src/core/placement.rs
+++ b/src/core/placement.rs
@@ -18,6 +18,8 @@
 
 /// Tasks stopped for others in one round.
 const ROUND_VICTIMS: usize = 32;
+/// A job that is overdue by this much is no longer put off for those that can be on time.
+const LATE_PATIENCE: Duration = Duration::from_secs(600);
 /// Waits no longer than this are not worth anybody's work.
 const PREEMPT_PATIENCE: Duration = Duration::from_secs(2);
 /// A task that has run for less is left alone: stopped so early, its start would have been in vain.
@@ -379,7 +381,7 @@
             return false;
         };
         let age = now.saturating_duration_since(job.arrived);
-        age + est > due && age < due * 3
+        age + est > due && age < due + LATE_PATIENCE
     }
 
     /// Jobs that fit into their team's guarantee together with its earlier unfinished jobs.
