--- a/src/core/capacity.rs
+++ b/src/core/capacity.rs
@@ -30,6 +30,9 @@
 const DEAR_PATIENCE: Duration = Duration::from_secs(90);
 /// Jobs of a class that its typical size is taken from.
 const RECENT_JOBS: usize = 20;
+/// A class is quiet after this many times the usual gap between its jobs, and this long at least.
+const QUIET_GAPS: u32 = 5;
+const QUIET_LEAST: Duration = Duration::from_secs(40);
 /// After a refusal, no cheaper stand-in is looked for for this long.
 const REPLACE_PAUSE: Duration = Duration::from_secs(60);
 /// Stand-ins on their way at a time.
@@ -51,7 +54,8 @@
     rentals: BTreeMap<String, Rental>,
     refused: HashMap<Offer, (Instant, u32)>,
     boots: HashMap<TypeName, Average>,
-    recent: HashMap<String, VecDeque<(u32, Need)>>,
+    /// Of each class, the latest jobs: when they came, their tasks, what a task takes.
+    recent: HashMap<String, VecDeque<(Instant, u32, Need)>>,
     /// Spot machines rented to take an ordinary one's place, by type.
     replacing: HashMap<TypeName, u32>,
     /// Ordinary machines that may be drained now, by type.
@@ -88,22 +92,30 @@
             _ => t.boot,
         }
     }
-    pub fn saw_job(&mut self, spec: &JobSpec) {
+    pub fn saw_job(&mut self, spec: &JobSpec, arrived: Instant) {
         let recent = self.recent.entry(spec.class.clone()).or_default();
-        recent.push_back((spec.shards, spec.need));
+        recent.push_back((arrived, spec.shards, spec.need));
         if recent.len() > RECENT_JOBS {
             recent.pop_front();
         }
     }
     /// What a class's jobs take: a size that four in five stay below, and a task's mean need.
-    fn typical(&self, class: &str) -> Option<(u32, Need)> {
-        let recent = self.recent.get(class).filter(|r| !r.is_empty())?;
-        let mut sizes: Vec<u32> = recent.iter().map(|r| r.0).collect();
+    /// None once the class has been quiet for far longer than between its jobs before.
+    fn typical(&self, now: Instant, class: &str) -> Option<(u32, Need)> {
+        let recent = self.recent.get(class)?;
+        let first = recent.iter().map(|r| r.0).min()?;
+        let last = recent.iter().map(|r| r.0).max()?;
+        let gap = last.saturating_duration_since(first) / recent.len() as u32;
+        let quiet = now.saturating_duration_since(last);
+        if quiet > (gap * QUIET_GAPS).max(QUIET_LEAST) {
+            return None;
+        }
+        let mut sizes: Vec<u32> = recent.iter().map(|r| r.1).collect();
         sizes.sort_unstable();
         let size = sizes[(sizes.len() * 4 / 5).min(sizes.len() - 1)];
         let mut need = Need::default();
         for r in recent {
-            need.add(&r.1);
+            need.add(&r.2);
         }
         Some((size, need.times(1.0 / recent.len() as f64)))
     }
@@ -280,7 +292,7 @@
     }
 
     /// Tasks of each class with a start aim that must find room at once: class's typical job.
-    fn headroom(&self) -> Vec<(u32, Need)> {
+    fn headroom(&self, now: Instant) -> Vec<(u32, Need)> {
         let mut seen: Vec<&str> = Vec::new();
         let mut out = Vec::new();
         for o in self.params.objectives.iter().filter(|o| o.kind == "wait") {
@@ -291,7 +303,7 @@
                 continue;
             }
             seen.push(class);
-            if let Some((size, need)) = self.capacity.typical(class) {
+            if let Some((size, need)) = self.capacity.typical(now, class) {
                 let tasks = (f64::from(size) * self.params.tuning.headroom_jobs).ceil();
                 out.push((tasks as u32, need));
             }
@@ -301,7 +313,7 @@
 
     /// Imagines the cheapest machines for headroom that is missing.
     fn plan_headroom(&self, now: Instant, round: &Round, plan: &mut Vec<Imagined>) {
-        for (tasks, need) in self.headroom() {
+        for (tasks, need) in self.headroom(now) {
             let mut have: usize = round.spare.iter().map(|(_, n)| need.count_in(n)).sum();
             have += plan.iter().map(|m| need.count_in(&m.free)).sum::<usize>();
             while have < tasks as usize {
@@ -393,7 +405,7 @@
             .into_iter()
             .filter(|(id, _)| self.hosts.get(id).is_some_and(|h| h.spot))
             .collect();
-        let headroom = self.headroom();
+        let headroom = self.headroom(now);
         let mut dear: Vec<(f64, &Host)> = self
             .hosts
             .values()
@@ -625,7 +637,7 @@
         let quiet = self.hosts.values().filter(up).filter(|h| silent(h)).count();
         // When most fall silent at once, the fault is more likely on our side.
         let ours = quiet >= 3 && quiet * 2 > all;
-        let headroom = self.headroom();
+        let headroom = self.headroom(now);
         let mut free: Vec<(HostId, Need)> = self.free_room(now);
         let mut leaving: Vec<(HostId, &str)> = Vec::new();
         // The dearest idle machines go first.
--- a/src/core/cluster.rs
+++ b/src/core/cluster.rs
@@ -338,6 +338,7 @@
     pub(super) in_flight: Option<InFlight>,
     pub(super) store_pause: Option<Instant>,
     pub(super) next_summary: Instant,
+    pub(super) next_cleanup: Instant,
     pub(super) gone_jobs: Vec<Uid>,
     pub(super) actions: Vec<Action>,
     pub(super) urgent: BTreeSet<HostId>,
@@ -380,6 +381,7 @@
             in_flight: None,
             store_pause: None,
             next_summary,
+            next_cleanup: now,
             gone_jobs: Vec::new(),
             actions: Vec::new(),
             urgent: BTreeSet::new(),
@@ -410,7 +412,7 @@
         } else {
             self.started + Duration::from_millis(spec.accepted_ms - self.started_ms)
         };
-        self.capacity.saw_job(&spec);
+        self.capacity.saw_job(&spec, arrived);
         self.jobs.insert(uid, Job::new(spec, stamp, arrived));
         self.order_stale = true;
         self.round_due = true;
--- a/src/core/ledger.rs
+++ b/src/core/ledger.rs
@@ -8,7 +8,7 @@
 use super::cluster::Cluster;
 use super::history::Summary;
 use super::model::{Attempt, HostId, TaskId, Uid};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 /// Tasks per intent key. A key's value stays within 4 KiB, whatever the deployment allows.
 pub const CHUNK: u32 = 64;
@@ -16,6 +16,10 @@
 /// What a transaction's values may amount to, below the protocol's 64 KiB.
 const BATCH_BYTES: usize = 40 * 1024;
 
+/// Keys of finished jobs removed at a time, and how often.
+const CLEANUPS: usize = 4;
+const CLEANUP_EVERY: Duration = Duration::from_millis(800);
+
 pub const LEADER_KEY: &str = "ctl/leader";
 pub const TERM_KEY: &str = "ctl/term";
 pub const TYPES_KEY: &str = "ctl/types";
@@ -173,7 +177,16 @@
                 self.dirty_jobs.remove(&uid);
             }
         }
-        while ops.len() < most {
+        // A finished job of 100,000 tasks leaves some 1,600 keys: their removal must not use up the
+        // write rate that submissions and intents need.
+        let mut cleanups = if now >= self.next_cleanup {
+            CLEANUPS
+        } else {
+            0
+        };
+        while cleanups > 0 && ops.len() < most {
+            cleanups -= 1;
+            self.next_cleanup = now + CLEANUP_EVERY;
             let Some(key) = self.leftovers.pop() else {
                 break;
             };
@@ -208,7 +221,7 @@
                 false
             }
             BatchOutcome::Unknown => {
-                self.store_pause = Some(now + std::time::Duration::from_millis(300));
+                self.store_pause = Some(now + Duration::from_millis(300));
                 self.leftovers.extend(flight.deletes);
                 false
             }
--- a/tests/evidence.rs
+++ b/tests/evidence.rs
@@ -387,3 +387,29 @@
     }
     assert_eq!(seen.len(), 6);
 }
+
+#[test]
+fn keys_of_finished_jobs_are_removed_a_few_at_a_time() {
+    let mut w = World::with(params(), vec![host_type("m8", 64.0)]);
+    let uid = Uid::from("wk-000001");
+    w.job(spec("wk-000001", 64 * 20, 1.0));
+    for index in 0..20 {
+        let done = ChunkValue {
+            done: u64::MAX,
+            active: vec![],
+        };
+        w.c.load_chunk(w.now, &uid, index, done, 90);
+    }
+    let first = w.batch().expect("the end is recorded");
+    assert_eq!(first.ops.len(), 2, "the verdict and the index, at once");
+    w.c.on_batch(w.now, BatchOutcome::Applied { revision: 200 });
+    let mut removed = 0;
+    let start = w.now;
+    while removed < 20 {
+        let batch = w.batch().expect("the rest follows");
+        assert!(batch.ops.len() <= 4);
+        removed += batch.ops.len();
+        w.c.on_batch(w.now, BatchOutcome::Applied { revision: 201 });
+    }
+    assert!(w.now - start >= std::time::Duration::from_secs(3));
+}
