--- a/src/core/capacity.rs
+++ b/src/core/capacity.rs
@@ -7,7 +7,7 @@
 use super::cluster::{Action, Cluster, Host, Job};
 use super::history::Average;
 use super::model::*;
-use super::placement::{permits, Round};
+use super::placement::{contested, permits, Round};
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::time::{Duration, Instant};
 
@@ -314,12 +314,30 @@
     /// Imagines the cheapest machines for headroom that is missing.
     fn plan_headroom(&self, now: Instant, round: &Round, plan: &mut Vec<Imagined>) {
         for (tasks, need) in self.headroom(now) {
-            let mut have: usize = round.spare.iter().map(|(_, n)| need.count_in(n)).sum();
-            have += plan.iter().map(|m| need.count_in(&m.free)).sum::<usize>();
+            // Room that larger waiting tasks will take is no headroom, where other machines serve.
+            let apart = |t: &HostType| {
+                need.count_in(&t.room) > 0 && !contested(&self.crowded_out, &need, t)
+            };
+            let others = self.types.iter().any(apart);
+            let counts = |name: Option<&TypeName>| {
+                let t = name.and_then(|n| self.host_type(n));
+                !others || t.is_some_and(apart)
+            };
+            let mut have: usize = round
+                .spare
+                .iter()
+                .filter(|(id, _)| counts(self.hosts.get(id).map(|h| &h.host_type)))
+                .map(|(_, n)| need.count_in(n))
+                .sum();
+            have += plan
+                .iter()
+                .filter(|m| counts(Some(&m.offer.0)))
+                .map(|m| need.count_in(&m.free))
+                .sum::<usize>();
             while have < tasks as usize {
                 let missing = tasks as usize - have;
                 let mut best: Option<(f64, Offer, Need, usize)> = None;
-                for t in &self.types {
+                for t in self.types.iter().filter(|t| counts(Some(&t.name))) {
                     let slots = need.count_in(&t.room);
                     for site in t.sites.iter().filter(|_| slots > 0) {
                         let offer = (t.name.clone(), site.clone(), true);
--- a/src/core/cluster.rs
+++ b/src/core/cluster.rs
@@ -349,6 +349,8 @@
     /// Time of day at `started`, in milliseconds since 1970.
     pub started_ms: u64,
     pub(super) round_due: bool,
+    /// What the tasks need that found no room in the last round.
+    pub(super) crowded_out: Vec<Need>,
     pub(super) last_round: Option<Instant>,
     /// Starts of this term with their waits, for the log's summary.
     pub waits: Vec<Duration>,
@@ -391,6 +393,7 @@
             started: now,
             started_ms,
             round_due: true,
+            crowded_out: Vec::new(),
             last_round: None,
             waits: Vec::new(),
         }
--- a/src/core/placement.rs
+++ b/src/core/placement.rs
@@ -20,6 +20,9 @@
 const ROUND_VICTIMS: usize = 32;
 /// A job that is overdue by this much is no longer put off for those that can be on time.
 const LATE_PATIENCE: Duration = Duration::from_secs(600);
+/// How much larger a waiting task must be for smaller ones to make way, and by how much they do.
+const LARGER: f64 = 4.0;
+const CROWDING: Duration = Duration::from_secs(6);
 /// Waits no longer than this are not worth anybody's work.
 const PREEMPT_PATIENCE: Duration = Duration::from_secs(2);
 /// A task that has run for less is left alone: stopped so early, its start would have been in vain.
@@ -149,6 +152,20 @@
     true
 }
 
+/// What a round has computed for all tasks of a job: by type, and by slot.
+struct Costs<'a> {
+    ests: &'a [Duration],
+    penalties: &'a [Duration],
+    crowding: &'a [bool],
+}
+
+/// Whether a machine of this type is wanted by waiting tasks far larger than `need`.
+pub fn contested(crowded_out: &[Need], need: &Need, t: &HostType) -> bool {
+    crowded_out
+        .iter()
+        .any(|n| n.cpus >= need.cpus * LARGER && n.fits(&t.room))
+}
+
 /// What room for one task costs: the loss in seconds, the slot, the victims.
 type Claim = (f64, usize, Vec<(TaskId, Duration)>);
 
@@ -265,6 +282,7 @@
     pub(super) fn place(&mut self, now: Instant) -> Round {
         self.sort_order();
         let mut slots = self.slots(now);
+        let crowded_out = self.crowded_out.clone();
         let mut waiting = Vec::new();
         let mut looked = 0;
         let within = self.within_guarantee();
@@ -314,6 +332,11 @@
                     None => Duration::ZERO,
                 })
                 .collect();
+            // Small tasks scattered over the few machines that large ones fit on keep these waiting.
+            let crowding: Vec<bool> = slots
+                .iter()
+                .map(|s| contested(&crowded_out, &spec.need, &self.types[s.type_index]))
+                .collect();
             for index in pending {
                 if !self.team_allows(&spec, &booked) {
                     limited.push(uid.clone());
@@ -323,7 +346,12 @@
                     break;
                 };
                 let kept = job.progress.get(&index).copied().unwrap_or_default();
-                match self.best(now, job, &slots, &ests, &penalties, kept) {
+                let costs = Costs {
+                    ests: &ests,
+                    penalties: &penalties,
+                    crowding: &crowding,
+                };
+                match self.best(now, job, &slots, &costs, kept) {
                     Some((i, _, true, est)) => {
                         let s = &mut slots[i];
                         s.free.sub(&spec.need);
@@ -366,6 +394,14 @@
         }
         self.preempt(now, &waiting, &slots, &within);
         self.preempt_own(now, &limited, &within);
+        self.crowded_out.clear();
+        for w in waiting.iter().filter(|w| !w.coming) {
+            if let Some(j) = self.jobs.get(&w.uid) {
+                if !self.crowded_out.contains(&j.spec.need) {
+                    self.crowded_out.push(j.spec.need);
+                }
+            }
+        }
         let spare = slots.into_iter().map(|s| (s.id, s.later)).collect();
         Round { waiting, spare }
     }
@@ -592,8 +628,7 @@
         now: Instant,
         job: &Job,
         slots: &[Slot],
-        ests: &[Duration],
-        penalties: &[Duration],
+        costs: &Costs<'_>,
         kept: Duration,
     ) -> Option<(usize, Instant, bool, Duration)> {
         let mut best: Option<Choice> = None;
@@ -609,8 +644,13 @@
             if job.error_hosts.len() < 3 && job.error_hosts.contains(&s.id) {
                 continue;
             }
-            let est = ests[s.type_index].saturating_sub(kept).mul_f64(s.speed);
-            let score = at.saturating_duration_since(now) + est + penalties[i];
+            let est = costs.ests[s.type_index]
+                .saturating_sub(kept)
+                .mul_f64(s.speed);
+            let mut score = at.saturating_duration_since(now) + est + costs.penalties[i];
+            if costs.crowding[i] {
+                score += CROWDING;
+            }
             let score = (score.as_secs_f64() / RESOLUTION_S).round() as i64;
             let choice = Choice {
                 score,
