--- a/src/core/placement.rs
+++ b/src/core/placement.rs
@@ -22,7 +22,7 @@
 const LATE_PATIENCE: Duration = Duration::from_secs(600);
 /// How much larger a waiting task must be for smaller ones to make way, and by how much they do.
 const LARGER: f64 = 4.0;
-const CROWDING: Duration = Duration::from_secs(6);
+const CROWDING: Duration = Duration::from_secs(3);
 /// Waits no longer than this are not worth anybody's work.
 const PREEMPT_PATIENCE: Duration = Duration::from_secs(2);
 /// A task that has run for less is left alone: stopped so early, its start would have been in vain.
