--- a/src/core/placement.rs
+++ b/src/core/placement.rs
@@ -23,6 +23,8 @@
 /// How much larger a waiting task must be for smaller ones to make way, and by how much they do.
 const LARGER: f64 = 4.0;
 const CROWDING: Duration = Duration::from_secs(3);
+/// The part of a promised start that a task may be expected to wait before others are stopped.
+const PATIENCE_SHARE: f64 = 0.4;
 /// Waits no longer than this are not worth anybody's work.
 const PREEMPT_PATIENCE: Duration = Duration::from_secs(2);
 /// A task that has run for less is left alone: stopped so early, its start would have been in vain.
@@ -454,13 +456,13 @@
             if chosen.len() >= ROUND_VICTIMS {
                 break;
             }
-            if w.wait.is_some_and(|x| x <= PREEMPT_PATIENCE) {
-                continue;
-            }
             let Some(job) = self.jobs.get(&w.uid) else {
                 continue;
             };
             let spec = &job.spec;
+            if w.wait.is_some_and(|x| x <= self.patience(spec)) {
+                continue;
+            }
             let covered = within.contains(&w.uid);
             if spec.kind == JobKind::Gang || (!covered && spec.urgency <= Urgency::Standard) {
                 continue;
@@ -595,6 +597,18 @@
         self.params.objectives.iter().any(promised)
     }
 
+    /// How long a task may be expected to wait before others are stopped for it: a part of what its
+    /// class's users were promised, less where nothing is said.
+    fn patience(&self, spec: &JobSpec) -> Duration {
+        self.params
+            .objectives
+            .iter()
+            .filter(|o| o.kind == "wait" && o.class.as_ref() == Some(&spec.class))
+            .filter_map(|o| o.within)
+            .min()
+            .map_or(PREEMPT_PATIENCE, |w| w.mul_f64(PATIENCE_SHARE))
+    }
+
     fn beyond_guarantee(&self, usage: &HashMap<TeamName, Need>, spec: &JobSpec) -> bool {
         let team = self.params.teams.iter().find(|t| t.name == spec.owner);
         let used = usage.get(&spec.owner).copied().unwrap_or_default();
