--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -9,7 +9,9 @@
 use cypressgap::core::history::History;
 use cypressgap::core::leadership::{LeaderRecord, Leadership, Role, Step};
 use cypressgap::core::model::*;
+use cypressgap::core::placement::contested;
 use cypressgap::runtime::budget::{Bucket, Rank};
+use cypressgap::runtime::view::View;
 use std::time::{Duration, Instant};
 
 type Edit = fn(&mut JobSpec);
@@ -278,6 +280,73 @@
     assert_eq!(w.c.jobs[&Uid::from("wk-000001")].done_count, 3);
 }
 
+#[test]
+fn small_tasks_make_way_only_for_far_larger_ones_that_fit() {
+    let large = host_type("m64", 64.0);
+    let small = host_type("m8", 8.0);
+    let cases = [
+        ("nothing waits", vec![], 2.0, &large, false),
+        (
+            "a far larger task waits",
+            vec![need(16.0)],
+            2.0,
+            &large,
+            true,
+        ),
+        (
+            "it does not fit there",
+            vec![need(16.0)],
+            2.0,
+            &small,
+            false,
+        ),
+        ("it is not far larger", vec![need(4.0)], 2.0, &large, false),
+    ];
+    for (name, waiting, cpus, t, expected) in cases {
+        assert_eq!(contested(&waiting, &need(cpus), t), expected, "{name}");
+    }
+    // With room on both kinds, the small task leaves the large machine alone while one waits.
+    let mut unlimited = params();
+    unlimited.teams[0].cpus_max = None;
+    let mut w = World::with(unlimited, vec![small, large]);
+    let mut r = World::report("i-1", 1, 1, 0, vec![]);
+    r.host_type = "m64".into();
+    w.c.on_report(w.now, r, true);
+    w.job(spec("wk-000001", 3, 24.0));
+    assert_eq!(launches(&w.settle()).len(), 2, "the third waits");
+    w.beat("i-2", 1, vec![]);
+    let mut s = spec("wk-000002", 1, 2.0);
+    s.owner = "blue".into();
+    w.job(s);
+    assert_eq!(launches(&w.settle())[0].0, "i-2".into());
+}
+
+#[test]
+fn a_node_is_unhealthy_only_when_a_peer_can_do_better() {
+    // Seconds that the state service has failed us, what a peer says and how long ago.
+    let cases = [
+        ("all well", None, None, true),
+        ("a moment's trouble", Some(1), Some((true, 0)), true),
+        ("lost to us alone", Some(5), Some((true, 1)), false),
+        ("lost to all", Some(5), Some((false, 1)), true),
+        ("no word of late", Some(5), Some((true, 30)), true),
+        ("no peer", Some(5), None, true),
+    ];
+    for (name, failing, peer, healthy) in cases {
+        let start = Instant::now();
+        let now = start + secs(100);
+        let view = View::new(start);
+        view.store_answered(true, start);
+        if let Some(s) = failing {
+            view.store_answered(false, now - secs(s));
+        }
+        if let Some((ok, ago)) = peer {
+            view.peer_said("worker-1", ok, now - secs(ago));
+        }
+        assert_eq!(view.healthy(now), healthy, "{name}");
+    }
+}
+
 fn rentals(actions: &[Action]) -> Vec<(String, bool, u32)> {
     let rent = |a: &Action| match a {
         Action::Rent {
