--- a/src/runtime/duties.rs
+++ b/src/runtime/duties.rs
@@ -141,7 +141,8 @@
                 Answer::Accept { epoch, directives } => BeatReply::Accept(epoch, directives),
                 Answer::Ignore => BeatReply::NotLeader,
                 Answer::Superseded(t) => {
-                    let _ = out.signs.send(Sign::Term(t));
+                    // Never waits: the elector may be waiting for this loop. It will be seen again.
+                    let _ = out.signs.try_send(Sign::Term(t));
                     BeatReply::NotLeader
                 }
             };
@@ -153,12 +154,12 @@
             let superseded = c.on_batch(now, outcome);
             if superseded {
                 log::warn!("a write met a newer leader term={}", term.0);
-                let _ = out.signs.send(Sign::Leader(None));
+                let _ = out.signs.try_send(Sign::Leader(None));
             }
         }
         Event::Sent(t, host, report) if t == term => {
             if let Some(higher) = c.on_sent(now, &host, report) {
-                let _ = out.signs.send(Sign::Term(higher));
+                let _ = out.signs.try_send(Sign::Term(higher));
             }
         }
         Event::Rented(t, claim, outcome) if t == term => c.on_rented(now, &claim, outcome),
