Summary line with percentiles of starts, rounds, store and cloud calls

Cause: the first histogram clamped every record to its initial bounds, so the line showed zeros; a case now holds the percentiles.

--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -4,9 +4,11 @@
 use serde::Serialize;
 use std::io::Read;
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
 
 use super::wire;
+use crate::runtime::metrics::Meter;
 
 /// Answers of the state service's lists and watches are longer than bodies of the protocol's own.
 const ANSWER_LIMIT: u64 = 16 * 1024 * 1024;
@@ -37,13 +39,15 @@
 pub struct Client {
     agent: ureq::Agent,
     base: String,
+    meter: Arc<Meter>,
 }
 
 impl Client {
-    pub fn new(address: SocketAddr, connect: Duration, idle: usize) -> Client {
+    pub fn new(address: SocketAddr, connect: Duration, idle: usize, meter: Arc<Meter>) -> Client {
         Client {
             agent: agent(connect, idle),
             base: format!("http://{address}"),
+            meter,
         }
     }
 
@@ -55,7 +59,13 @@
         limit: Duration,
     ) -> Result<Answer, CallError> {
         let url = format!("{}{path}", self.base);
-        call(&self.agent, method, &url, body, limit)
+        let start = Instant::now();
+        let answer = call(&self.agent, method, &url, body, limit);
+        // A watch is meant to wait.
+        if !path.starts_with("/follow") {
+            self.meter.record(start.elapsed());
+        }
+        answer
     }
 }
 
--- a/src/runtime/duties.rs
+++ b/src/runtime/duties.rs
@@ -15,7 +15,6 @@
 use crate::net::wire::{self, RentRequest, StoredJob, StoredVerdict};
 use crate::net::{agent, peer};
 use crossbeam::channel::{Receiver, Sender};
-use hdrhistogram::Histogram;
 use serde::de::IgnoredAny;
 use serde::Deserialize;
 use std::collections::HashMap;
@@ -97,6 +96,7 @@
         let actions = if ticking { c.tick(now) } else { c.flush(now) };
         if ticking {
             next_tick = now + Duration::from_millis(150);
+            shared.meters.rounds.record(now.elapsed());
         }
         perform(shared, c, actions, now, out);
         if ticking {
@@ -104,7 +104,7 @@
         }
         if now >= next_metrics {
             next_metrics = now + shared.settings.operations.metrics_every;
-            metrics(c);
+            metrics(shared, c);
         }
     }
 }
@@ -266,24 +266,22 @@
     }
 }
 
-fn metrics(c: &mut Cluster) {
-    let mut h: Histogram<u64> = match Histogram::new(2) {
-        Ok(h) => h,
-        Err(_) => return,
-    };
+fn metrics(shared: &Shared, c: &mut Cluster) {
+    let m = &shared.meters;
     for w in c.waits.drain(..) {
-        h.saturating_record(w.as_millis() as u64);
+        m.starts.record(w);
     }
     let queued: u32 = c.jobs.values().map(|j| j.waiting_count()).sum();
     let active: usize = c.jobs.values().map(|j| j.active.len()).sum();
     log::info!(
-        "summary term={} jobs={} queued={queued} active={active} hosts={} started={} start_ms_p50={} start_ms_p95={}",
+        "summary term={} jobs={} queued={queued} active={active} hosts={} {} {} {} {}",
         c.term.0,
         c.jobs.len(),
         c.hosts.len(),
-        h.len(),
-        h.value_at_quantile(0.5),
-        h.value_at_quantile(0.95)
+        m.starts.facts("starts"),
+        m.rounds.facts("rounds"),
+        m.store.facts("store_calls"),
+        m.cloud.facts("cloud_calls")
     );
 }
 
--- /dev/null
+++ b/src/runtime/metrics.rs
@@ -0,0 +1,50 @@
+//! Meters whose percentiles the periodic summary names.
+
+use hdrhistogram::Histogram;
+use std::sync::Mutex;
+use std::time::Duration;
+
+/// An hour. Anything longer counts as an hour.
+const LONGEST_US: u64 = 3_600_000_000;
+
+/// Durations of one kind since the last summary, in microseconds.
+pub struct Meter {
+    histogram: Mutex<Histogram<u64>>,
+}
+
+impl Default for Meter {
+    fn default() -> Self {
+        Meter::new()
+    }
+}
+
+impl Meter {
+    pub fn new() -> Meter {
+        // Fixed bounds: a histogram that grows by itself clamps saturating records to its first size.
+        let histogram =
+            Histogram::new_with_bounds(1, LONGEST_US, 2).expect("the bounds are in order");
+        Meter {
+            histogram: Mutex::new(histogram),
+        }
+    }
+
+    pub fn record(&self, d: Duration) {
+        let mut h = self.histogram.lock().unwrap_or_else(|e| e.into_inner());
+        h.saturating_record(d.as_micros().min(u128::from(u64::MAX)) as u64);
+    }
+
+    /// Count, 50th and 95th percentile in milliseconds, since the last call.
+    pub fn take(&self) -> (u64, f64, f64) {
+        let mut h = self.histogram.lock().unwrap_or_else(|e| e.into_inner());
+        let ms = |q| h.value_at_quantile(q) as f64 / 1000.0;
+        let found = (h.len(), ms(0.5), ms(0.95));
+        h.reset();
+        found
+    }
+
+    /// The same as facts of a log line, under `name`.
+    pub fn facts(&self, name: &str) -> String {
+        let (n, p50, p95) = self.take();
+        format!("{name}={n} {name}_ms_p50={p50:.1} {name}_ms_p95={p95:.1}")
+    }
+}
--- a/src/runtime/mod.rs
+++ b/src/runtime/mod.rs
@@ -3,6 +3,7 @@
 pub mod budget;
 pub mod duties;
 pub mod elector;
+pub mod metrics;
 pub mod service;
 pub mod stop;
 pub mod view;
--- a/src/runtime/service.rs
+++ b/src/runtime/service.rs
@@ -3,6 +3,7 @@
 use super::budget::Bucket;
 use super::duties::{self, BeatReply, Event, Outlets};
 use super::elector::{self, Sign};
+use super::metrics::Meter;
 use super::stop::Stop;
 use super::view::{RoleView, View};
 use crate::net::cloud::Cloud;
@@ -19,8 +20,20 @@
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
+/// What the summary line tells about this node's calls.
+#[derive(Default)]
+pub struct Meters {
+    pub store: Arc<Meter>,
+    pub cloud: Arc<Meter>,
+    /// Ticks of the core: a placement round and what goes with it.
+    pub rounds: Meter,
+    /// From a durable intent to the task's start.
+    pub starts: Meter,
+}
+
 pub struct Shared {
     pub settings: Settings,
+    pub meters: Meters,
     pub view: View,
     pub store: Store,
     pub cloud: Cloud,
@@ -141,8 +154,12 @@
         let reads = Arc::new(Bucket::new(settings.state_rps / share, 0.9, now));
         let writes = Arc::new(Bucket::new(settings.state_write_rps / share, 0.9, now));
         let connect = Duration::from_millis(800);
-        let store = Store::new(Client::new(settings.state, connect, 16), reads, writes);
-        let cloud = Cloud::new(Client::new(settings.cloud, Duration::from_secs(2), 2));
+        let meters = Meters::default();
+        let client = Client::new(settings.state, connect, 16, meters.store.clone());
+        let store = Store::new(client, reads, writes);
+        let patience = Duration::from_secs(2);
+        let client = Client::new(settings.cloud, patience, 2, meters.cloud.clone());
+        let cloud = Cloud::new(client);
         let cloud_bucket = Arc::new(Bucket::new(settings.cloud_rps * 0.8, 1.5, now));
         let (events, event_queue) = bounded(512);
         let (signs, sign_queue) = bounded(256);
@@ -158,6 +175,7 @@
         let agents = settings.operations.agents;
         let shared = Arc::new(Shared {
             settings,
+            meters,
             view: View::new(now),
             store,
             cloud,
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -11,6 +11,7 @@
 use cypressgap::core::model::*;
 use cypressgap::core::placement::contested;
 use cypressgap::runtime::budget::{Bucket, Rank};
+use cypressgap::runtime::metrics::Meter;
 use cypressgap::runtime::view::View;
 use std::time::{Duration, Instant};
 
@@ -574,3 +575,18 @@
     assert!(!b.take_at(1.0, Rank::Leader, later + secs(1)));
     assert!(b.take_at(1.0, Rank::Leader, later + secs(2)));
 }
+
+#[test]
+fn meters_tell_percentiles_and_start_anew() {
+    let m = Meter::new();
+    for ms in 1..=100 {
+        m.record(Duration::from_millis(ms));
+    }
+    let (n, p50, p95) = m.take();
+    assert_eq!(n, 100);
+    assert!((49.0..52.0).contains(&p50) && (94.0..97.0).contains(&p95));
+    assert_eq!(
+        m.facts("calls"),
+        "calls=0 calls_ms_p50=0.0 calls_ms_p95=0.0"
+    );
+}
