--- a/src/runtime/duties.rs
+++ b/src/runtime/duties.rs
@@ -92,10 +92,11 @@
             next_tick = now + Duration::from_millis(500);
             continue;
         };
+        next_tick = next_tick.min(c.next_tick(now));
         let ticking = now >= next_tick;
         let actions = if ticking { c.tick(now) } else { c.flush(now) };
         if ticking {
-            next_tick = now + Duration::from_millis(150);
+            next_tick = c.next_tick(now);
             shared.meters.rounds.record(now.elapsed());
         }
         perform(shared, c, actions, now, out);
