--- a/src/core/cluster.rs
+++ b/src/core/cluster.rs
@@ -13,11 +13,6 @@
 
 /// Most directives in one message: far below 64 KiB.
 const MOST_DIRECTIVES: usize = 300;
-/// Rounds that changes call for come no more often than this.
-const ROUND_GAP: Duration = Duration::from_millis(100);
-/// Without changes, leases, graces and notices are looked at this often: each look costs a share of
-/// a processor that may be a twentieth of a core.
-const IDLE_TICK: Duration = Duration::from_millis(300);
 /// Names of returned hosts that are remembered, so that late reports do not revive them.
 const TOMBSTONES: usize = 5000;
 /// Clocks drift by 0.05%; a lease counts as run out only after this much more of it, and a second.
@@ -1331,11 +1326,7 @@
         self.overdue_withdrawals(now);
         self.evictions(now);
         self.press_kills(now);
-        let round_every = if self.round_due {
-            ROUND_GAP
-        } else {
-            Duration::from_secs(1)
-        };
+        let round_every = Duration::from_millis(if self.round_due { 100 } else { 1000 });
         if self
             .last_round
             .is_none_or(|t| now.saturating_duration_since(t) >= round_every)
@@ -1352,16 +1343,6 @@
         std::mem::take(&mut self.actions)
     }
 
-    /// When the next tick is due: soon after a change that calls for a round, else at leisure.
-    pub fn next_tick(&self, now: Instant) -> Instant {
-        let soon = self.last_round.unwrap_or(now) + ROUND_GAP;
-        if self.round_due {
-            soon.max(now)
-        } else {
-            now + IDLE_TICK
-        }
-    }
-
     /// Sends what a durable intent allows at once, without waiting for the next tick.
     pub fn flush(&mut self, now: Instant) -> Vec<Action> {
         self.send_urgent(now);
--- a/src/runtime/duties.rs
+++ b/src/runtime/duties.rs
@@ -92,11 +92,10 @@
             next_tick = now + Duration::from_millis(500);
             continue;
         };
-        next_tick = next_tick.min(c.next_tick(now));
         let ticking = now >= next_tick;
         let actions = if ticking { c.tick(now) } else { c.flush(now) };
         if ticking {
-            next_tick = c.next_tick(now);
+            next_tick = now + Duration::from_millis(150);
             shared.meters.rounds.record(now.elapsed());
         }
         perform(shared, c, actions, now, out);
