--- a/src/core/placement.rs
+++ b/src/core/placement.rs
@@ -24,7 +24,7 @@
 const LARGER: f64 = 4.0;
 const CROWDING: Duration = Duration::from_secs(3);
 /// The part of a promised start that a task may be expected to wait before others are stopped.
-const PATIENCE_SHARE: f64 = 0.4;
+const PATIENCE_SHARE: f64 = 0.25;
 /// Waits no longer than this are not worth anybody's work.
 const PREEMPT_PATIENCE: Duration = Duration::from_secs(2);
 /// A task that has run for less is left alone: stopped so early, its start would have been in vain.
@@ -639,7 +639,9 @@
             .filter(|o| o.kind == "wait" && o.class.as_ref() == Some(&spec.class))
             .filter_map(|o| o.within)
             .min()
-            .map_or(PREEMPT_PATIENCE, |w| w.mul_f64(PATIENCE_SHARE))
+            .map_or(PREEMPT_PATIENCE, |w| {
+                w.mul_f64(PATIENCE_SHARE).max(PREEMPT_PATIENCE)
+            })
     }
 
     fn beyond_guarantee(&self, usage: &HashMap<TeamName, Need>, spec: &JobSpec) -> bool {
