--- a/src/core/cluster.rs
+++ b/src/core/cluster.rs
@@ -774,6 +774,10 @@
         if new_tenure {
             h.images.clear();
             h.fetching.clear();
+            // The new session's lease runs from its beginning, which is not long before now. Counted
+            // from the last answer of the old one, it would seem to have run out under tasks that
+            // direct commands start in the new session.
+            h.last_answer = h.last_answer.max(Some(now));
         }
         h.eviction = match (r.eviction, h.eviction) {
             (Some(d), _) => {
--- a/tests/evidence.rs
+++ b/tests/evidence.rs
@@ -133,6 +133,26 @@
     }
 }
 
+#[test]
+fn a_new_sessions_lease_is_not_counted_from_the_old_ones_last_answer() {
+    let (mut w, _) = launched();
+    w.beat("i-1", 5, vec![]);
+    let host = HostId::from("i-1");
+    let lease = params().lease;
+    // Its answers were lost: the worker began a new session, of which a direct answer tells.
+    w.pass(lease);
+    let epoch = w.c.hosts[&host].epoch.0;
+    let fresh = World::report("i-1", 2, 1, epoch, vec![]);
+    w.c.on_sent(w.now, &host, Some(fresh));
+    let sent = launches(&w.settle());
+    assert_eq!(sent.len(), 1, "the old session's task starts anew");
+    let (_, task, attempt) = sent[0].clone();
+    w.pass(secs(5));
+    w.c.tick(w.now);
+    let (on, still) = w.active(&task.uid.0, task.index).expect("it runs there");
+    assert_eq!((on, still), (host, attempt));
+}
+
 #[test]
 fn a_returned_host_is_gone_for_good() {
     let (mut w, _) = launched();
