--- a/src/core/capacity.rs
+++ b/src/core/capacity.rs
@@ -35,8 +35,11 @@
 const QUIET_LEAST: Duration = Duration::from_secs(40);
 /// After a refusal, no cheaper stand-in is looked for for this long.
 const REPLACE_PAUSE: Duration = Duration::from_secs(60);
-/// Stand-ins on their way at a time.
+/// Stand-ins on their way at a time, or this part of the ordinary machines.
 const REPLACING: u32 = 3;
+const REPLACING_PART: u32 = 6;
+/// Rentals asked for and not answered at a time: more would only queue for the cloud's rate.
+const MOST_RENTALS: usize = 12;
 
 type Offer = (TypeName, Site, bool);
 
@@ -161,8 +164,21 @@
 
     // --- renting ---
 
+    /// Machines by zone, for spreading rentals.
+    fn crowds(&self) -> HashMap<Site, usize> {
+        let mut crowds: HashMap<Site, usize> = HashMap::new();
+        for h in self.hosts.values() {
+            match crowds.get_mut(&h.site) {
+                Some(n) => *n += 1,
+                None => {
+                    crowds.insert(h.site.clone(), 1);
+                }
+            }
+        }
+        crowds
+    }
+
     fn rent(&mut self, now: Instant, round: &Round) {
-        let waiting = &round.waiting;
         if self.types.is_empty() || !self.settled(now) {
             return;
         }
@@ -181,11 +197,13 @@
             }
         }
         let under_way = plan.len();
+        let mut crowds = self.crowds();
         let mut same: HashMap<&Uid, usize> = HashMap::new();
-        for w in waiting {
-            *same.entry(&w.uid).or_default() += 1;
+        for w in &round.waiting {
+            *same.entry(&w.uid).or_default() += w.count;
         }
-        for w in waiting {
+        let most = self.params.tuning.max_hosts;
+        for w in &round.waiting {
             let Some(job) = self.jobs.get(&w.uid) else {
                 continue;
             };
@@ -221,17 +239,23 @@
                     (true, false) => wait > boot + DEAR_PATIENCE,
                 }
             };
-            let fits_open = plan.iter_mut().find(|m| {
+            let mut left = w.count;
+            for m in plan.iter_mut() {
+                if left == 0 {
+                    break;
+                }
+                let n = spec.need.count_in(&m.free).min(left);
                 let o = &m.offer;
-                spec.need.fits(&m.free) && permits(job, &site_of, &o.0, &o.1, o.2)
-            });
-            if let Some(m) = fits_open {
-                m.free.sub(&spec.need);
-                m.tasks += 1;
+                if n > 0 && permits(job, &site_of, &o.0, &o.1, o.2) {
+                    m.free.sub(&spec.need.times(n as f64));
+                    m.tasks += n;
+                    left -= n;
+                }
+            }
+            if left == 0 {
                 continue;
             }
-            let mut best: Option<(f64, Offer, Need)> = None;
-            let left = same.get(&w.uid).copied().unwrap_or(1).max(1);
+            let mut offers: Vec<(f64, Offer, Need, usize)> = Vec::new();
             for t in &self.types {
                 let slots = spec.need.count_in(&t.room);
                 if slots == 0 {
@@ -240,39 +264,47 @@
                 for site in &t.sites {
                     for spot in [true, false] {
                         let offer = (t.name.clone(), site.clone(), spot);
-                        if !worth(t, spot) {
-                            continue;
-                        }
-                        if !permits(job, &site_of, &t.name, site, spot)
-                            || self.is_refused(now, &offer)
+                        if worth(t, spot)
+                            && permits(job, &site_of, &t.name, site, spot)
+                            && !self.is_refused(now, &offer)
                         {
-                            continue;
-                        }
-                        let crowd = self.site_crowd(site)
-                            + plan.iter().filter(|m| &m.offer.1 == site).count();
-                        let cost =
-                            t.price(spot) / slots.min(left) as f64 * (1.0 + 0.001 * crowd as f64);
-                        if best.as_ref().is_none_or(|b| cost < b.0) {
-                            best = Some((cost, offer, t.room));
+                            offers.push((t.price(spot), offer, t.room, slots));
                         }
                     }
                 }
             }
-            if let Some((_, offer, room)) = best {
-                let mut free = room;
-                free.sub(&spec.need);
+            while left > 0 && plan.len() < most {
+                // The whole job counts, as far as it is not provided for yet: a large machine for
+                // many tasks may be cheaper than small ones, for a few it is not.
+                let of_job = same.get(&w.uid).copied().unwrap_or(1).max(1);
+                let best = offers
+                    .iter()
+                    .map(|o| {
+                        let crowd = crowds.get(&o.1 .1).copied().unwrap_or(0) as f64;
+                        let cost = o.0 / o.3.min(of_job) as f64 * (1.0 + 0.001 * crowd);
+                        (cost, o)
+                    })
+                    .min_by(|a, b| a.0.total_cmp(&b.0));
+                let Some((_, (_, offer, room, slots))) = best else {
+                    break;
+                };
+                let n = left.min(*slots);
+                let mut free = *room;
+                free.sub(&spec.need.times(n as f64));
+                *crowds.entry(offer.1.clone()).or_default() += 1;
                 plan.push(Imagined {
-                    offer,
-                    room,
+                    offer: offer.clone(),
+                    room: *room,
                     free,
-                    tasks: 1,
+                    tasks: n,
                 });
-                if let Some(n) = same.get_mut(&w.uid) {
-                    *n = n.saturating_sub(1);
+                left -= n;
+                if let Some(s) = same.get_mut(&w.uid) {
+                    *s = s.saturating_sub(n);
                 }
             }
         }
-        self.plan_headroom(now, round, &mut plan);
+        self.plan_headroom(now, round, &mut plan, &mut crowds);
         let mut counts: BTreeMap<Offer, u32> = BTreeMap::new();
         for m in plan
             .iter()
@@ -281,12 +313,16 @@
         {
             *counts.entry(m.offer.clone()).or_default() += 1;
         }
-        for (offer, n) in counts {
-            let room = (self.params.tuning.max_hosts)
-                .saturating_sub(self.hosts.len() + self.capacity.pending() as usize);
-            let n = n.min(MOST_RENTED).min(room as u32);
-            if n > 0 {
-                self.order_rental(offer, n);
+        for (offer, mut n) in counts {
+            // Large demand takes several calls of the most that one may ask for.
+            while n > 0 {
+                let room = most.saturating_sub(self.hosts.len() + self.capacity.pending() as usize);
+                let call = n.min(MOST_RENTED).min(room as u32);
+                if call == 0 || self.capacity.rentals.len() >= MOST_RENTALS {
+                    break;
+                }
+                self.order_rental(offer.clone(), call);
+                n -= call;
             }
         }
     }
@@ -312,29 +348,39 @@
     }
 
     /// Imagines the cheapest machines for headroom that is missing.
-    fn plan_headroom(&self, now: Instant, round: &Round, plan: &mut Vec<Imagined>) {
+    fn plan_headroom(
+        &self,
+        now: Instant,
+        round: &Round,
+        plan: &mut Vec<Imagined>,
+        crowds: &mut HashMap<Site, usize>,
+    ) {
         for (tasks, need) in self.headroom(now) {
             // Room that larger waiting tasks will take is no headroom, where other machines serve.
-            let apart = |t: &HostType| {
-                need.count_in(&t.room) > 0 && !contested(&self.crowded_out, &need, t)
-            };
-            let others = self.types.iter().any(apart);
+            let apart: Vec<bool> = self
+                .types
+                .iter()
+                .map(|t| need.count_in(&t.room) > 0 && !contested(&self.crowded_out, &need, t))
+                .collect();
+            let others = apart.contains(&true);
             let counts = |name: Option<&TypeName>| {
-                let t = name.and_then(|n| self.host_type(n));
-                !others || t.is_some_and(apart)
+                let t = name.and_then(|n| self.types.iter().position(|t| &t.name == n));
+                !others || t.is_some_and(|t| apart[t])
             };
             let mut have: usize = round
                 .spare
                 .iter()
+                .map(|(id, n)| (id, need.count_in(n)))
+                .filter(|(_, n)| *n > 0)
                 .filter(|(id, _)| counts(self.hosts.get(id).map(|h| &h.host_type)))
-                .map(|(_, n)| need.count_in(n))
+                .map(|(_, n)| n)
                 .sum();
             have += plan
                 .iter()
                 .filter(|m| counts(Some(&m.offer.0)))
                 .map(|m| need.count_in(&m.free))
                 .sum::<usize>();
-            while have < tasks as usize {
+            while have < tasks as usize && plan.len() < self.params.tuning.max_hosts {
                 let missing = tasks as usize - have;
                 let mut best: Option<(f64, Offer, Need, usize)> = None;
                 for t in self.types.iter().filter(|t| counts(Some(&t.name))) {
@@ -344,7 +390,7 @@
                         if self.is_refused(now, &offer) {
                             continue;
                         }
-                        let crowd = self.site_crowd(site) as f64;
+                        let crowd = crowds.get(site).copied().unwrap_or(0) as f64;
                         let cost =
                             t.price(true) / slots.min(missing) as f64 * (1.0 + 0.001 * crowd);
                         if best.as_ref().is_none_or(|b| cost < b.0) {
@@ -356,6 +402,7 @@
                     break;
                 };
                 have += slots;
+                *crowds.entry(offer.1.clone()).or_default() += 1;
                 plan.push(Imagined {
                     offer,
                     room,
@@ -370,30 +417,46 @@
     fn replace_dear(&mut self, now: Instant, round: &Round) {
         if self.capacity.replace_after.is_none_or(|t| t <= now) && round.waiting.is_empty() {
             let on_the_way: u32 = self.capacity.replacing.values().sum();
-            let candidate = self.hosts.values().find(|h| {
-                let t = self.host_type(&h.host_type);
-                let dear = t.is_some_and(|t| t.hourly > t.low_price * DEAR);
+            // Of each type: ordinary machines, and those of them that are in use and could move.
+            let mut kinds: BTreeMap<&TypeName, (u32, u32)> = BTreeMap::new();
+            for h in self.hosts.values() {
+                if h.spot || h.draining || h.returning || !h.reported {
+                    continue;
+                }
+                let dear = self
+                    .host_type(&h.host_type)
+                    .is_some_and(|t| t.hourly > t.low_price * DEAR);
                 let can_move = h.placed.keys().all(|t| {
                     let job = self.jobs.get(&t.uid);
                     job.is_none_or(|j| j.spec.preemptible)
                 });
-                let busy = !h.placed.is_empty();
-                dear && busy && can_move && h.reported && !h.spot && !h.draining && !h.returning
-            });
-            if let Some(h) = candidate.filter(|_| on_the_way < REPLACING) {
-                let name = h.host_type.clone();
-                let same = |h: &&Host| h.host_type == name && !h.spot && !h.draining;
-                let ordinary = self.hosts.values().filter(same).count() as u32;
+                let kind = kinds.entry(&h.host_type).or_default();
+                kind.0 += 1;
+                if dear && can_move && !h.placed.is_empty() {
+                    kind.1 += 1;
+                }
+            }
+            let all: u32 = kinds.values().map(|k| k.0).sum();
+            let allowed = REPLACING
+                .max(all / REPLACING_PART)
+                .saturating_sub(on_the_way);
+            let candidate = kinds.into_iter().find(|(_, k)| k.1 > 0);
+            if let Some((name, (ordinary, busy))) = candidate.filter(|_| allowed > 0) {
+                let name = name.clone();
                 let under_way = self.capacity.replacing.get(&name).copied().unwrap_or(0);
                 let sites = self.host_type(&name).map(|t| t.sites.clone());
                 let offer = sites.unwrap_or_default().into_iter().find_map(|s| {
                     let offer = (name.clone(), s, true);
                     (!self.is_refused(now, &offer)).then_some(offer)
                 });
+                let n = allowed
+                    .min(ordinary.saturating_sub(under_way))
+                    .min(busy)
+                    .min(MOST_RENTED);
                 match offer {
-                    Some(o) if under_way < ordinary => {
-                        *self.capacity.replacing.entry(name).or_default() += 1;
-                        self.order_rental(o, 1);
+                    Some(o) if n > 0 => {
+                        *self.capacity.replacing.entry(name).or_default() += n;
+                        self.order_rental(o, n);
                     }
                     _ => self.capacity.replace_after = Some(now + Duration::from_secs(10)),
                 }
@@ -415,46 +478,61 @@
         }
     }
 
-    /// Empties the dearest ordinary machine whose tasks would find room on spot machines by now, with
-    /// the headroom left as it is.
+    /// Empties the dearest ordinary machines whose tasks would find room on spot machines by now,
+    /// with the headroom left as it is.
     fn drain_superfluous(&mut self, now: Instant) {
-        let free: Vec<(HostId, Need)> = self
+        let mut room: Vec<Need> = self
             .free_room(now)
             .into_iter()
-            .filter(|(id, _)| self.hosts.get(id).is_some_and(|h| h.spot))
+            .filter(|(h, _)| h.spot)
+            .map(|(_, n)| n)
             .collect();
         let headroom = self.headroom(now);
         let mut dear: Vec<(f64, &Host)> = self
             .hosts
             .values()
             .filter(|h| h.reported && !h.spot && !h.draining && !h.returning)
+            // Idle ones have their own time to go: a service that has just started has no tasks.
+            .filter(|h| !h.placed.is_empty())
             .filter_map(|h| {
                 let t = self.host_type(&h.host_type)?;
                 (t.hourly > t.low_price * DEAR).then_some((t.hourly, h))
             })
             .collect();
         dear.sort_by(|a, b| b.0.total_cmp(&a.0));
-        // Idle ones have their own time to go: a service that has just started has no tasks at all.
-        dear.retain(|d| !d.1.placed.is_empty());
-        let superfluous = dear.into_iter().map(|d| d.1).find(|h| {
-            let mut room = free.clone();
+        let most = (dear.len() / REPLACING_PART as usize).max(1);
+        let mut emptied: Vec<HostId> = Vec::new();
+        for (_, h) in dear {
+            if emptied.len() >= most || room.is_empty() {
+                break;
+            }
+            let before = room.clone();
             let moves = h.placed.iter().all(|(task, need)| {
                 let spot = self.jobs.get(&task.uid).is_none_or(|j| j.spec.preemptible);
-                match room.iter_mut().find(|(_, n)| spot && need.fits(n)) {
-                    Some((_, n)) => {
+                match room.iter_mut().find(|n| spot && need.fits(n)) {
+                    Some(n) => {
                         n.sub(need);
                         true
                     }
                     None => false,
                 }
             });
-            moves
+            let enough = moves
                 && headroom.iter().all(|(tasks, need)| {
-                    let slots: usize = room.iter().map(|(_, n)| need.count_in(n)).sum();
+                    let slots: usize = room.iter().map(|n| need.count_in(n)).sum();
                     slots >= *tasks as usize
-                })
-        });
-        if let Some(id) = superfluous.map(|h| h.id.clone()) {
+                });
+            if enough {
+                emptied.push(h.id.clone());
+            } else {
+                room = before;
+                if moves {
+                    // The headroom is used up: no other would leave it either.
+                    break;
+                }
+            }
+        }
+        for id in emptied {
             if let Some(h) = self.hosts.get_mut(&id) {
                 log::info!("host is emptied, spot machines have room host={id}");
                 h.draining = true;
@@ -464,7 +542,19 @@
 
     /// A machine that is being emptied is paid for in any case: while work waits, it takes some.
     fn keep_draining(&mut self, round: &Round) {
+        let mut draining: Vec<(&Host, Need)> = Vec::new();
+        for h in self.hosts.values().filter(|h| h.draining && !h.returning) {
+            if let Some(t) = self.host_type(&h.host_type) {
+                let mut free = t.room;
+                free.sub(&h.used);
+                draining.push((h, free));
+            }
+        }
+        let mut kept: Vec<HostId> = Vec::new();
         for w in &round.waiting {
+            if draining.is_empty() {
+                break;
+            }
             if w.coming || w.wait.is_some_and(|t| t <= KEEP_WAIT) {
                 continue;
             }
@@ -472,23 +562,23 @@
                 continue;
             };
             let site_of = |h: &HostId| self.hosts.get(h).map(|h| h.site.clone());
-            let kept = self.hosts.values().find(|h| {
-                let Some(t) = self.host_type(&h.host_type) else {
-                    return false;
-                };
-                let mut free = t.room;
-                free.sub(&h.used);
-                h.draining
-                    && !h.returning
-                    && job.spec.need.fits(&free)
-                    && permits(job, &site_of, &h.host_type, &h.site, h.spot)
-            });
-            if let Some(id) = kept.map(|h| h.id.clone()) {
-                if let Some(h) = self.hosts.get_mut(&id) {
-                    log::info!("host is kept after all host={id}");
-                    h.draining = false;
-                    self.round_due = true;
+            let mut left = w.count;
+            draining.retain(|(h, free)| {
+                let n = job.spec.need.count_in(free);
+                let takes =
+                    left > 0 && n > 0 && permits(job, &site_of, &h.host_type, &h.site, h.spot);
+                if takes {
+                    left = left.saturating_sub(n);
+                    kept.push(h.id.clone());
                 }
+                !takes
+            });
+        }
+        for id in kept {
+            if let Some(h) = self.hosts.get_mut(&id) {
+                log::info!("host is kept after all host={id}");
+                h.draining = false;
+                self.round_due = true;
             }
         }
     }
@@ -501,10 +591,6 @@
         all || now.saturating_duration_since(self.started) >= self.params.report.mul_f64(1.3)
     }
 
-    fn site_crowd(&self, site: &Site) -> usize {
-        self.hosts.values().filter(|h| &h.site == site).count()
-    }
-
     fn is_refused(&self, now: Instant, offer: &Offer) -> bool {
         self.capacity
             .refused
@@ -655,20 +741,30 @@
         let quiet = self.hosts.values().filter(up).filter(|h| silent(h)).count();
         // When most fall silent at once, the fault is more likely on our side.
         let ours = quiet >= 3 && quiet * 2 > all;
+        // Room for each class's headroom, on all machines that take tasks.
         let headroom = self.headroom(now);
-        let mut free: Vec<(HostId, Need)> = self.free_room(now);
+        let mut slots: Vec<usize> = vec![0; headroom.len()];
+        let mut own: HashMap<&HostId, Need> = HashMap::new();
+        for (h, free) in self.free_room(now) {
+            for (n, (_, need)) in slots.iter_mut().zip(&headroom) {
+                *n += need.count_in(&free);
+            }
+            own.insert(&h.id, free);
+        }
         let mut leaving: Vec<(HostId, &str)> = Vec::new();
         // The dearest idle machines go first.
-        let mut hosts: Vec<&Host> = self.hosts.values().filter(|h| !h.returning).collect();
-        hosts.sort_by(|a, b| {
-            let price = |h: &Host| {
+        let mut hosts: Vec<(f64, &Host, Option<&HostType>)> = self
+            .hosts
+            .values()
+            .filter(|h| !h.returning)
+            .map(|h| {
                 let t = self.host_type(&h.host_type);
-                t.map_or(0.0, |t| t.price(h.spot) / t.room.cpus.max(1.0))
-            };
-            price(b).total_cmp(&price(a))
-        });
-        for h in hosts {
-            let t = self.host_type(&h.host_type);
+                let price = t.map_or(0.0, |t| t.price(h.spot) / t.room.cpus.max(1.0));
+                (price, h, t)
+            })
+            .collect();
+        hosts.sort_by(|a, b| b.0.total_cmp(&a.0));
+        for (_, h, t) in hosts {
             if let Some(since) = h.booting {
                 let boot = t.map_or(Duration::from_secs(60), |t| t.boot);
                 if now.saturating_duration_since(since)
@@ -697,13 +793,19 @@
                 if !h.reported || !h.placed.is_empty() || !(idle || h.draining) {
                     continue;
                 }
-                let enough = headroom.iter().all(|(tasks, need)| {
-                    let others = free.iter().filter(|(id, _)| id != &h.id);
-                    let slots: usize = others.map(|(_, n)| need.count_in(n)).sum();
-                    slots >= *tasks as usize
-                });
+                let here = own.get(&h.id);
+                let left = |n: usize, need: &Need| {
+                    n.saturating_sub(here.map_or(0, |free| need.count_in(free)))
+                };
+                let enough = headroom
+                    .iter()
+                    .zip(&slots)
+                    .all(|((tasks, need), n)| left(*n, need) >= *tasks as usize);
                 if enough || h.draining {
-                    free.retain(|(id, _)| id != &h.id);
+                    for ((_, need), n) in headroom.iter().zip(slots.iter_mut()) {
+                        *n = left(*n, need);
+                    }
+                    own.remove(&h.id);
                     leaving.push((h.id.clone(), "idle"));
                 }
             }
@@ -736,7 +838,7 @@
     }
 
     /// Room free now on machines that take tasks.
-    fn free_room(&self, now: Instant) -> Vec<(HostId, Need)> {
+    fn free_room(&self, now: Instant) -> Vec<(&Host, Need)> {
         let mut out = Vec::new();
         for h in self.hosts.values() {
             let Some(t) = self.host_type(&h.host_type) else {
@@ -747,7 +849,7 @@
             if h.reported && fresh && !leaving {
                 let mut free = t.room;
                 free.sub(&h.used);
-                out.push((h.id.clone(), free));
+                out.push((h, free));
             }
         }
         out
--- a/src/core/cluster.rs
+++ b/src/core/cluster.rs
@@ -18,6 +18,14 @@
 /// Clocks drift by 0.05%; a lease counts as run out only after this much more of it, and a second.
 const DRIFT: f64 = 1.002;
 
+/// Rounds take one part in so many of the time, and come within these bounds.
+const ROUND_SHARE: u32 = 5;
+const ROUND_LEAST: Duration = Duration::from_millis(100);
+const ROUND_MOST: Duration = Duration::from_millis(1500);
+/// Renting and returning, and what else walks all hosts or tasks, need no more than this.
+const CAPACITY_EVERY: Duration = Duration::from_millis(450);
+const SWEEP_EVERY: Duration = Duration::from_millis(450);
+
 #[derive(Clone, Debug, PartialEq)]
 pub struct Kill {
     pub wind_down: Duration,
@@ -56,6 +64,7 @@
 #[derive(Clone, Debug)]
 pub struct Job {
     pub spec: JobSpec,
+    pub image: ImageKey,
     /// Stamp of the acceptance: arrival order, and the condition that nobody withdrew the job.
     pub stamp: u64,
     pub withdrawn: bool,
@@ -73,14 +82,21 @@
     pub progress: HashMap<u32, Duration>,
     /// When its user was told that it is accepted.
     pub arrived: Instant,
+    /// When one of its tasks was last placed; its arrival before that.
+    pub last_placed: Instant,
+    /// It once waited so long that it went before all others.
+    pub starved: bool,
 }
 
 impl Job {
     fn new(spec: JobSpec, stamp: u64, arrived: Instant) -> Self {
         Job {
+            image: ImageKey::of(&spec.image),
             spec,
             stamp,
             arrived,
+            last_placed: arrived,
+            starved: false,
             withdrawn: false,
             withdrawn_at: None,
             finished: false,
@@ -199,8 +215,8 @@
     pub placed: BTreeMap<TaskId, Need>,
     pub used: Need,
     pub foreign: Need,
-    pub images: VecDeque<(String, f64)>,
-    pub fetching: BTreeMap<String, (Instant, f64)>,
+    pub images: VecDeque<(ImageKey, f64)>,
+    pub fetching: BTreeMap<ImageKey, (Instant, f64)>,
     pub sending: bool,
     pub returning: bool,
     pub return_sent: Option<Instant>,
@@ -259,16 +275,16 @@
             lease_spent: false,
         }
     }
-    pub fn has_image(&self, image: &str) -> bool {
-        self.images.iter().any(|(i, _)| i == image)
+    pub fn has_image(&self, image: ImageKey) -> bool {
+        self.images.iter().any(|(i, _)| *i == image)
     }
-    fn cached(&mut self, image: &str, gb: f64, cache_gb: f64) {
-        self.fetching.remove(image);
-        if self.images.back().is_some_and(|(i, _)| i == image) {
+    fn cached(&mut self, image: ImageKey, gb: f64, cache_gb: f64) {
+        self.fetching.remove(&image);
+        if self.images.back().is_some_and(|(i, _)| *i == image) {
             return;
         }
-        self.images.retain(|(i, _)| i != image);
-        self.images.push_back((image.to_owned(), gb));
+        self.images.retain(|(i, _)| *i != image);
+        self.images.push_back((image, gb));
         while self.images.len() > 1 && self.images.iter().map(|i| i.1).sum::<f64>() > cache_gb {
             self.images.pop_front();
         }
@@ -352,6 +368,9 @@
     /// What the tasks need that found no room in the last round.
     pub(super) crowded_out: Vec<Need>,
     pub(super) last_round: Option<Instant>,
+    round_pace: Duration,
+    last_capacity: Option<Instant>,
+    last_sweep: Option<Instant>,
     /// Starts of this term with their waits, for the log's summary.
     pub waits: Vec<Duration>,
 }
@@ -395,6 +414,9 @@
             round_due: true,
             crowded_out: Vec::new(),
             last_round: None,
+            round_pace: ROUND_LEAST,
+            last_capacity: None,
+            last_sweep: None,
             waits: Vec::new(),
         }
     }
@@ -464,6 +486,9 @@
         if job.done_count == job.spec.shards {
             self.dirty_jobs.insert(uid.clone());
         }
+        if job.done_count > 0 || !job.active.is_empty() {
+            job.last_placed = now;
+        }
         let (need, owner) = (job.spec.need, job.spec.owner.clone());
         for (index, host) in loaded {
             self.usage.entry(owner.clone()).or_default().add(&need);
@@ -564,14 +589,15 @@
             kill: None,
         };
         job.active.insert(index, active);
+        job.last_placed = now;
         job.touch(index);
         let need = job.spec.need;
         h.placed.insert(job.task(index), need);
         h.used.add(&need);
         h.idle_since = None;
-        if !h.has_image(&job.spec.image) {
+        if !h.has_image(job.image) {
             h.fetching
-                .entry(job.spec.image.clone())
+                .entry(job.image)
                 .or_insert((now, job.spec.image_gb));
         }
         self.usage
@@ -859,7 +885,7 @@
         let Some(job) = self.jobs.get_mut(&task.uid) else {
             return;
         };
-        let (image, gb) = (job.spec.image.clone(), job.spec.image_gb);
+        let (image, gb) = (job.image, job.spec.image_gb);
         let Some(a) = job.active.get_mut(&task.index) else {
             return;
         };
@@ -894,7 +920,7 @@
                             }
                         }
                     }
-                    h.cached(&image, gb, cache);
+                    h.cached(image, gb, cache);
                 }
             }
         }
@@ -1324,21 +1350,42 @@
         self.urgent.extend(due);
     }
 
+    /// How long the last tick took: rounds leave most of the processor to reports and users.
+    pub fn tick_took(&mut self, took: Duration) {
+        self.round_pace = (took * ROUND_SHARE).clamp(ROUND_LEAST, ROUND_MOST);
+    }
+
     /// Everything that time alone brings about, a placement round, and what is to be sent.
     pub fn tick(&mut self, now: Instant) -> Vec<Action> {
-        self.expire_leases(now);
-        self.overdue_withdrawals(now);
-        self.evictions(now);
-        self.press_kills(now);
-        let round_every = Duration::from_millis(if self.round_due { 100 } else { 1000 });
+        if self
+            .last_sweep
+            .is_none_or(|t| now.saturating_duration_since(t) >= SWEEP_EVERY)
+        {
+            self.last_sweep = Some(now);
+            self.expire_leases(now);
+            self.overdue_withdrawals(now);
+            self.evictions(now);
+            self.press_kills(now);
+        }
+        let every = if self.round_due {
+            self.round_pace
+        } else {
+            Duration::from_millis(1000).max(self.round_pace)
+        };
         if self
             .last_round
-            .is_none_or(|t| now.saturating_duration_since(t) >= round_every)
+            .is_none_or(|t| now.saturating_duration_since(t) >= every)
         {
             self.last_round = Some(now);
             self.round_due = false;
             let round = self.place(now);
-            self.manage_capacity(now, &round);
+            if self
+                .last_capacity
+                .is_none_or(|t| now.saturating_duration_since(t) >= CAPACITY_EVERY)
+            {
+                self.last_capacity = Some(now);
+                self.manage_capacity(now, &round);
+            }
         }
         self.send_urgent(now);
         if let Some(b) = self.next_batch(now) {
--- a/src/core/history.rs
+++ b/src/core/history.rs
@@ -60,6 +60,11 @@
     )
 }
 
+/// How long a fetch of `gb` takes at a rate.
+pub fn fetch_at(rate: f64, gb: f64) -> Duration {
+    Duration::from_secs_f64((gb / rate.max(0.01)).clamp(0.0, 1e5))
+}
+
 impl History {
     /// Est: the expected run time of a task on a machine of type `t`.
     pub fn est(&self, spec: &JobSpec, t: &TypeName) -> Duration {
@@ -102,10 +107,14 @@
         }
     }
 
+    /// How far the type's fetches are off their nominal rate.
+    pub fn fetch_ratio(&self, t: &TypeName) -> f64 {
+        self.fetch.get(&key(&[&t.0], &[])).map_or(1.0, |a| a.mean)
+    }
+
     /// How long a fetch of `gb` takes, without the queue before it.
     pub fn fetch_time(&self, t: &TypeName, nominal: f64, gb: f64) -> Duration {
-        let ratio = self.fetch.get(&key(&[&t.0], &[])).map_or(1.0, |a| a.mean);
-        Duration::from_secs_f64((gb / (nominal * ratio).max(0.01)).clamp(0.0, 1e5))
+        fetch_at(nominal * self.fetch_ratio(t), gb)
     }
 
     /// Entries for the state service, the most measured first, when anything is new.
--- a/src/core/ledger.rs
+++ b/src/core/ledger.rs
@@ -7,7 +7,8 @@
 
 use super::cluster::Cluster;
 use super::history::Summary;
-use super::model::{Attempt, HostId, TaskId, Uid};
+use super::model::{Attempt, HostId, TaskId, Uid, Urgency};
+use std::cmp::Reverse;
 use std::time::{Duration, Instant};
 
 /// Tasks per intent key. A key's value stays within 4 KiB, whatever the deployment allows.
@@ -117,13 +118,17 @@
         let mut ops = Vec::new();
         let most = self.params.txn_ops.max(1);
         let mut bytes = 0;
-        self.sort_order();
-        let dirty: Vec<Uid> = self
-            .order
+        // In the queue's order, without a walk over all jobs: this is asked after every event.
+        let mut dirty: Vec<(Reverse<Urgency>, u64, Uid)> = self
+            .dirty_jobs
             .iter()
-            .filter(|u| self.dirty_jobs.contains(*u))
-            .cloned()
+            .map(|u| match self.jobs.get(u) {
+                Some(j) => (Reverse(j.spec.urgency), j.stamp, u.clone()),
+                None => (Reverse(Urgency::Idle), u64::MAX, u.clone()),
+            })
             .collect();
+        dirty.sort();
+        let dirty: Vec<Uid> = dirty.into_iter().map(|d| d.2).collect();
         for uid in dirty {
             let Some(job) = self.jobs.get_mut(&uid) else {
                 self.dirty_jobs.remove(&uid);
--- a/src/core/model.rs
+++ b/src/core/model.rs
@@ -1,6 +1,7 @@
 //! What the scheduler talks about: jobs, tasks, hosts, teams and their identities.
 
 use std::fmt;
+use std::hash::Hasher;
 use std::time::Duration;
 
 macro_rules! text_id {
@@ -51,6 +52,19 @@
     }
 }
 
+/// An image's name, hashed: what a machine holds is compared for every job and machine of a round.
+/// Two names that meet would only mislead an estimate.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct ImageKey(pub u64);
+
+impl ImageKey {
+    pub fn of(name: &str) -> ImageKey {
+        let mut h = fnv::FnvHasher::default();
+        h.write(name.as_bytes());
+        ImageKey(h.finish())
+    }
+}
+
 /// One task of a job.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct TaskId {
@@ -391,7 +405,7 @@
             idle_ordinary: Duration::from_secs(20),
             max_live_jobs: 20_000,
             headroom_jobs: 1.0,
-            max_hosts: 500,
+            max_hosts: 5000,
         }
     }
 }
--- a/src/core/placement.rs
+++ b/src/core/placement.rs
@@ -4,20 +4,27 @@
 //! A task starts only where room is free now. Where the best machine is busy, the task is booked on
 //! it for this round, which pushes that machine's Avail out for the tasks after it, and the task
 //! waits to be scored again in the next round.
+//!
+//! Tasks of one job are alike: the machines are scored once for all of them and kept in a heap, in
+//! which only the machine that took the last task is scored anew. The choice is the same as if each
+//! task were scored on every machine (a test compares the two).
 
 use super::cluster::{Active, Cluster, Host, Job};
+use super::history::fetch_at;
 use super::model::*;
 use std::cmp::{Ordering, Reverse};
-use std::collections::{HashMap, HashSet};
+use std::collections::{BinaryHeap, HashMap, HashSet};
 use std::time::{Duration, Instant};
 
 /// Tasks looked at in one round. A longer queue waits for the rounds to come.
-const ROUND_TASKS: usize = 400;
+const ROUND_TASKS: usize = 4000;
 /// Scores closer than this are equal: reports come no more often than every half second.
 const RESOLUTION_S: f64 = 1.0;
+/// Kept progress of restarted tasks counts in steps of this, so that they share a scoring too.
+const KEPT_STEP_S: f64 = 5.0;
 
 /// Tasks stopped for others in one round.
-const ROUND_VICTIMS: usize = 32;
+const ROUND_VICTIMS: usize = 64;
 /// A job that is overdue by this much is no longer put off for those that can be on time.
 const LATE_PATIENCE: Duration = Duration::from_secs(600);
 /// How much larger a waiting task must be for smaller ones to make way, and by how much they do.
@@ -29,14 +36,21 @@
 const PREEMPT_PATIENCE: Duration = Duration::from_secs(2);
 /// A task that has run for less is left alone: stopped so early, its start would have been in vain.
 const VICTIM_RAN: Duration = Duration::from_secs(31);
+/// Every job begins within four minutes. One none of whose tasks was placed for this long goes
+/// before all others, whatever their urgency or size, with a part of its tasks; then again.
+const STARVED: Duration = Duration::from_secs(100);
+const STARVED_PART: u32 = 8;
+/// Of these, so many (one in 32 of the job) keep the machine that they wait for free of others.
+const RESERVED_PART: u32 = 32;
 
-/// A task that found no room, and when the best machine is expected to have some.
+/// Tasks of one job that found no room, and when the best machine is expected to have some.
 #[derive(Clone, Debug)]
 pub struct Waiting {
     pub uid: Uid,
+    pub count: usize,
     pub wait: Option<Duration>,
     pub est: Duration,
-    /// The machine it is booked on is still coming up and will start it at once.
+    /// The machine they are booked on is still coming up and will start them at once.
     pub coming: bool,
 }
 
@@ -48,10 +62,8 @@
 }
 
 /// A machine as the round sees it, with this round's starts and bookings on top.
-struct Slot {
-    id: HostId,
-    site: Site,
-    spot: bool,
+struct Slot<'a> {
+    host: &'a Host,
     type_index: usize,
     /// Room free now; for a machine that is still booting, its whole room later.
     free: Need,
@@ -61,6 +73,10 @@
     up_at: Option<Instant>,
     speed: f64,
     price: f64,
+    /// Images under way here, this round's included, and their size together.
+    fetch_gb: f64,
+    started_images: Vec<ImageKey>,
+    booked_images: Vec<ImageKey>,
 }
 
 /// Prices a half apart or nearer count as equal: spot prices move by a third.
@@ -72,7 +88,7 @@
     }
 }
 
-impl Slot {
+impl Slot<'_> {
     /// Avail: now if room fits, else when booked tasks free enough.
     fn avail(&self, now: Instant, need: &Need, room: &Need) -> Option<(Instant, bool)> {
         if !need.fits(room) {
@@ -102,6 +118,34 @@
         let i = self.releases.partition_point(|(t, _)| *t <= end);
         self.releases.insert(i, (end, *need));
     }
+
+    /// The penalty: zero where the image is cached, else its fetch behind those queued.
+    fn penalty(&self, now: Instant, rate: f64, job: &Job) -> Duration {
+        if job.spec.image_gb <= 0.0
+            || self.host.has_image(job.image)
+            || self.booked_images.contains(&job.image)
+        {
+            return Duration::ZERO;
+        }
+        if let Some((since, _)) = self.host.fetching.get(&job.image) {
+            let whole = fetch_at(rate, self.fetch_gb);
+            return whole.saturating_sub(now.saturating_duration_since(*since));
+        }
+        if self.started_images.contains(&job.image) {
+            return fetch_at(rate, self.fetch_gb);
+        }
+        fetch_at(rate, self.fetch_gb + job.spec.image_gb)
+    }
+
+    fn started(&mut self, job: &Job) {
+        if !self.host.has_image(job.image)
+            && !self.host.fetching.contains_key(&job.image)
+            && !self.started_images.contains(&job.image)
+        {
+            self.started_images.push(job.image);
+            self.fetch_gb += job.spec.image_gb;
+        }
+    }
 }
 
 /// What stopping an attempt at once costs, in seconds of its work. None: it must not be stopped,
@@ -131,6 +175,18 @@
     type_name: &TypeName,
     site: &Site,
     spot: bool,
+) -> bool {
+    permits_with(job, hosts, &[], type_name, site, spot)
+}
+
+/// The same, with zones that this round has already given to the job's tasks.
+fn permits_with(
+    job: &Job,
+    hosts: &impl Fn(&HostId) -> Option<Site>,
+    given: &[&Site],
+    type_name: &TypeName,
+    site: &Site,
+    spot: bool,
 ) -> bool {
     let spec = &job.spec;
     if !spec.allows_type(type_name) || !spec.allows_site(site) || (spot && !spec.preemptible) {
@@ -138,9 +194,10 @@
     }
     if spec.same_place || spec.spread {
         let mut here = 0;
-        for a in job.active.values() {
+        let sites = job.active.values().map(|a| hosts(&a.host));
+        for s in sites.chain(given.iter().map(|s| Some((*s).clone()))) {
             // A task whose zone is not known could be in any.
-            match hosts(&a.host) {
+            match s {
                 Some(s) if &s == site => here += 1,
                 Some(_) if spec.same_place => return false,
                 Some(_) => {}
@@ -154,11 +211,14 @@
     true
 }
 
-/// What a round has computed for all tasks of a job: by type, and by slot.
-struct Costs<'a> {
+/// Tasks of one job that are alike, and what a round has computed for them by machine type.
+struct Group<'a> {
+    job: &'a Job,
     ests: &'a [Duration],
-    penalties: &'a [Duration],
+    /// Progress that a restarted task resumes from.
+    kept: Duration,
     crowding: &'a [bool],
+    rates: &'a [f64],
 }
 
 /// Whether a machine of this type is wanted by waiting tasks far larger than `need`.
@@ -168,10 +228,8 @@
         .any(|n| n.cpus >= need.cpus * LARGER && n.fits(&t.room))
 }
 
-/// What room for one task costs: the loss in seconds, the slot, the victims.
-type Claim = (f64, usize, Vec<(TaskId, Duration)>);
-
-/// A slot scored for one task.
+/// A slot scored for one task. The least wins: by score, then price, then room left, then place.
+#[derive(Clone, Copy, Debug)]
 struct Choice {
     score: i64,
     price: f64,
@@ -180,17 +238,97 @@
     at: Instant,
     free_now: bool,
     est: Duration,
+    penalty: Duration,
 }
 
-impl Choice {
-    fn beats(&self, other: &Choice) -> bool {
+impl Ord for Choice {
+    fn cmp(&self, other: &Self) -> Ordering {
         self.score
             .cmp(&other.score)
             .then(self.price.total_cmp(&other.price))
             .then(self.left.total_cmp(&other.left))
-            == Ordering::Less
+            .then(self.slot.cmp(&other.slot))
+    }
+}
+impl PartialOrd for Choice {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+impl PartialEq for Choice {
+    fn eq(&self, other: &Self) -> bool {
+        self.cmp(other) == Ordering::Equal
     }
 }
+impl Eq for Choice {}
+
+/// A task of the plan, to be started.
+struct Start {
+    uid: Uid,
+    index: u32,
+    host: HostId,
+    est: Duration,
+    fetch: Duration,
+    gang: bool,
+}
+
+/// A running task that might make way.
+struct Candidate<'a> {
+    task: &'a TaskId,
+    job: &'a Job,
+    covered: bool,
+    loss: f64,
+}
+
+/// What room for one task costs: the loss in seconds, the slot, the victims by their place.
+struct Claim {
+    loss: f64,
+    slot: usize,
+    victims: Vec<usize>,
+}
+
+impl Ord for Claim {
+    fn cmp(&self, other: &Self) -> Ordering {
+        self.loss
+            .total_cmp(&other.loss)
+            .then(self.slot.cmp(&other.slot))
+    }
+}
+impl PartialOrd for Claim {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+impl PartialEq for Claim {
+    fn eq(&self, other: &Self) -> bool {
+        self.cmp(other) == Ordering::Equal
+    }
+}
+impl Eq for Claim {}
+
+/// Where waiting tasks are counted together: waits this close are one.
+fn push_waiting(waiting: &mut Vec<Waiting>, w: Waiting) {
+    if let Some(last) = waiting.last_mut() {
+        let near = match (last.wait, w.wait) {
+            (Some(a), Some(b)) => a.as_secs() == b.as_secs(),
+            (None, None) => true,
+            _ => false,
+        };
+        if near && last.coming == w.coming && last.uid == w.uid {
+            last.count += w.count;
+            return;
+        }
+    }
+    waiting.push(w);
+}
+
+struct Plan {
+    starts: Vec<Start>,
+    kills: Vec<(TaskId, bool)>,
+    waiting: Vec<Waiting>,
+    spare: Vec<(HostId, Need)>,
+    starved: Vec<Uid>,
+}
 
 impl Cluster {
     fn usable(&self, now: Instant, h: &Host) -> bool {
@@ -204,8 +342,8 @@
             && h.avoid_until.is_none_or(|t| t <= now)
     }
 
-    fn slots(&self, now: Instant) -> Vec<Slot> {
-        let mut slots = Vec::new();
+    fn slots(&self, now: Instant, rates: &[f64]) -> Vec<Slot<'_>> {
+        let mut slots = Vec::with_capacity(self.hosts.len());
         for h in self.hosts.values() {
             let Some(ti) = self.types.iter().position(|t| t.name == h.host_type) else {
                 continue;
@@ -221,7 +359,8 @@
             let mut free = t.room;
             free.sub(&h.used);
             free.sub(&h.foreign);
-            let mut releases = Vec::with_capacity(h.placed.len());
+            let fetch_gb: f64 = h.fetching.values().map(|f| f.1).sum();
+            let mut releases = Vec::with_capacity(h.placed.len() + 2);
             for task in h.placed.keys() {
                 let Some(job) = self.jobs.get(&task.uid) else {
                     continue;
@@ -236,15 +375,19 @@
                         // Past its estimate, a task is taken to need as much again as a tenth.
                         a.est.saturating_sub(ran).max(ran.mul_f64(0.1))
                     }
-                    (None, None) => a.est + self.fetch_rest(now, h, t, &job.spec.image),
+                    (None, None) => {
+                        let fetch = h.fetching.get(&job.image).map(|(since, _)| {
+                            fetch_at(rates[ti], fetch_gb)
+                                .saturating_sub(now.saturating_duration_since(*since))
+                        });
+                        a.est + fetch.unwrap_or_default()
+                    }
                 };
                 releases.push((now + rest, job.spec.need));
             }
             releases.sort_by_key(|r| r.0);
             slots.push(Slot {
-                id: h.id.clone(),
-                site: h.site.clone(),
-                spot: h.spot,
+                host: h,
                 type_index: ti,
                 free,
                 later: free,
@@ -252,185 +395,322 @@
                 up_at,
                 speed: h.speed(),
                 price: price_step(t.price(h.spot) / t.room.cpus.max(1.0)),
+                fetch_gb,
+                started_images: Vec::new(),
+                booked_images: Vec::new(),
             });
         }
         slots
     }
 
-    /// What is left of a fetch under way, with the fetches that share its rate.
-    fn fetch_rest(&self, now: Instant, h: &Host, t: &HostType, image: &str) -> Duration {
-        let Some((since, _)) = h.fetching.get(image) else {
-            return Duration::ZERO;
-        };
-        let all: f64 = h.fetching.values().map(|f| f.1).sum();
-        let whole = self.history.fetch_time(&t.name, t.fetch_gb_per_s, all);
-        whole.saturating_sub(now.saturating_duration_since(*since))
+    /// Avail + Est + penalty of one slot. None: the task can never run there.
+    fn score(&self, now: Instant, g: &Group<'_>, slots: &[Slot<'_>], i: usize) -> Option<Choice> {
+        let s = &slots[i];
+        let t = &self.types[s.type_index];
+        let need = &g.job.spec.need;
+        let (at, free_now) = s.avail(now, need, &t.room)?;
+        let est = g.ests[s.type_index].saturating_sub(g.kept).mul_f64(s.speed);
+        let penalty = s.penalty(now, g.rates[s.type_index], g.job);
+        let mut score = at.saturating_duration_since(now) + est + penalty;
+        if g.crowding[s.type_index] {
+            score += CROWDING;
+        }
+        Some(Choice {
+            score: (score.as_secs_f64() / RESOLUTION_S).round() as i64,
+            price: s.price,
+            left: s.free.cpus - need.cpus,
+            slot: i,
+            at,
+            free_now,
+            est,
+            penalty,
+        })
     }
 
-    /// The penalty: zero where the image is cached, else its fetch behind those queued.
-    fn penalty(&self, now: Instant, h: &Host, t: &HostType, spec: &JobSpec) -> Duration {
-        if spec.image_gb <= 0.0 || h.has_image(&spec.image) {
-            return Duration::ZERO;
-        }
-        if h.fetching.contains_key(&spec.image) {
-            return self.fetch_rest(now, h, t, &spec.image);
-        }
-        let queued: f64 = h.fetching.values().map(|f| f.1).sum();
-        self.history
-            .fetch_time(&t.name, t.fetch_gb_per_s, queued + spec.image_gb)
+    /// Whether the job may use this slot, its tasks placed so far aside.
+    fn admits(&self, job: &Job, s: &Slot<'_>, given: &[&Site]) -> bool {
+        let failed = job.error_hosts.len() < 3 && job.error_hosts.contains(&s.host.id);
+        let name = &self.types[s.type_index].name;
+        let site_of = self.site_of();
+        !failed && permits_with(job, &site_of, given, name, &s.host.site, s.host.spot)
+    }
+
+    /// The slots that a group may use, least score first.
+    fn ranked(
+        &self,
+        now: Instant,
+        g: &Group<'_>,
+        slots: &[Slot<'_>],
+        given: &[&Site],
+    ) -> BinaryHeap<Reverse<Choice>> {
+        (0..slots.len())
+            .filter(|i| self.admits(g.job, &slots[*i], given))
+            .filter_map(|i| self.score(now, g, slots, i).map(Reverse))
+            .collect()
     }
 
     /// One round over the queue. Starts what can start; returns what waits.
     pub(super) fn place(&mut self, now: Instant) -> Round {
         self.sort_order();
-        let mut slots = self.slots(now);
-        let crowded_out = self.crowded_out.clone();
-        let mut waiting = Vec::new();
-        let mut looked = 0;
-        let within = self.within_guarantee();
-        let order = self.queue_order(now, &within);
-        let mut booked: HashMap<TeamName, Need> = HashMap::new();
-        let mut limited = Vec::new();
-        for uid in &order {
-            if looked >= ROUND_TASKS {
-                break;
+        let plan = self.plan(now);
+        for uid in &plan.starved {
+            if let Some(j) = self.jobs.get_mut(uid) {
+                j.starved = true;
+            }
+        }
+        let mut gang: Option<(Uid, Attempt)> = None;
+        for s in plan.starts {
+            // A gang's members share their attempt's number.
+            let attempt = match &gang {
+                Some((uid, a)) if s.gang && uid == &s.uid => *a,
+                _ => self.next_attempt(),
+            };
+            gang = s.gang.then(|| (s.uid.clone(), attempt));
+            log::debug!(
+                "placing task={}/{} host={} est_s={:.1} fetch_s={:.1} term={}",
+                s.uid,
+                s.index,
+                s.host,
+                s.est.as_secs_f64(),
+                s.fetch.as_secs_f64(),
+                self.term.0
+            );
+            self.assign(now, &s.uid, s.index, &s.host, attempt, s.est);
+        }
+        for (task, own) in plan.kills {
+            log::debug!("preempting task={task} within_limit={own}");
+            self.kill(now, &task.uid, task.index, Duration::ZERO);
+        }
+        self.crowded_out.clear();
+        for w in plan.waiting.iter().filter(|w| !w.coming) {
+            if let Some(j) = self.jobs.get(&w.uid) {
+                if self.crowded_out.len() < 32 && !self.crowded_out.contains(&j.spec.need) {
+                    self.crowded_out.push(j.spec.need);
+                }
             }
+        }
+        Round {
+            waiting: plan.waiting,
+            spare: plan.spare,
+        }
+    }
+
+    /// What to start, what to stop, and what waits. Nothing is changed yet.
+    fn plan(&self, now: Instant) -> Plan {
+        let rates: Vec<f64> = self
+            .types
+            .iter()
+            .map(|t| t.fetch_gb_per_s * self.history.fetch_ratio(&t.name))
+            .collect();
+        let mut slots = self.slots(now, &rates);
+        let within = self.within_guarantee();
+        let mut plan = Plan {
+            starts: Vec::new(),
+            kills: Vec::new(),
+            waiting: Vec::new(),
+            spare: Vec::new(),
+            starved: Vec::new(),
+        };
+        let mut looked = 0;
+        let mut longest = Duration::ZERO;
+        let mut used = self.usage.clone();
+        let mut limited: Vec<&Uid> = Vec::new();
+        let mut taken: HashMap<&Uid, usize> = HashMap::new();
+        for (uid, part) in self.queue_order(now, &within) {
             let Some(job) = self.jobs.get(uid) else {
                 continue;
             };
-            if job.over() || job.backoff_until.is_some_and(|b| now < b) {
-                continue;
-            }
-            if job.waiting_count() == 0 {
+            let spec = &job.spec;
+            if spec.kind == JobKind::Gang {
+                if looked < ROUND_TASKS && job.active.is_empty() && !taken.contains_key(uid) {
+                    looked += spec.shards as usize;
+                    taken.insert(uid, spec.shards as usize);
+                    let starved = part.is_some();
+                    self.plan_gang(now, job, &mut slots, &rates, &mut used, starved, &mut plan);
+                }
                 continue;
             }
-            if job.spec.kind == JobKind::Gang {
-                looked += job.spec.shards as usize;
-                self.place_gang(now, uid, &mut slots, &mut waiting);
+            let before = taken.get(uid).copied().unwrap_or(0);
+            let waits = (job.waiting_count() as usize).saturating_sub(before);
+            let most = part.map_or(waits, |p| (p as usize).min(waits));
+            let most = most.min(ROUND_TASKS.saturating_sub(looked));
+            if most == 0 {
+                // Beyond what a round looks at: it waits behind all that was looked at.
+                if waits > 0 && part.is_none() {
+                    let w = Waiting {
+                        uid: uid.clone(),
+                        count: waits,
+                        wait: Some(longest),
+                        est: spec.expected,
+                        coming: false,
+                    };
+                    push_waiting(&mut plan.waiting, w);
+                }
                 continue;
             }
-            let pending = job.pending(ROUND_TASKS - looked);
+            let mut pending = job.pending(before + most);
+            pending.drain(..before.min(pending.len()));
             looked += pending.len();
-            let spec = job.spec.clone();
+            *taken.entry(uid).or_default() += pending.len();
+            if part.is_some() {
+                plan.starved.push(uid.clone());
+            }
+            let mut reserve = part.map_or(0, |_| spec.shards.div_ceil(RESERVED_PART));
             let ests: Vec<Duration> = self
                 .types
                 .iter()
-                .map(|t| self.history.est(&spec, &t.name))
-                .collect();
-            let mut penalties: Vec<Duration> = slots
-                .iter()
-                .map(|s| match self.hosts.get(&s.id) {
-                    Some(h) => self.penalty(now, h, &self.types[s.type_index], &spec),
-                    None => Duration::ZERO,
-                })
+                .map(|t| self.history.est(spec, &t.name))
                 .collect();
-            // Small tasks scattered over the few machines that large ones fit on keep these waiting.
-            let crowding: Vec<bool> = slots
+            let crowding: Vec<bool> = self
+                .types
                 .iter()
-                .map(|s| contested(&crowded_out, &spec.need, &self.types[s.type_index]))
+                .map(|t| contested(&self.crowded_out, &spec.need, t))
                 .collect();
+            let mut group = Group {
+                job,
+                ests: &ests,
+                kept: Duration::ZERO,
+                crowding: &crowding,
+                rates: &rates,
+            };
+            // Where a task goes decides where its siblings may: they are ranked anew each time.
+            let tied = spec.same_place || spec.spread;
+            let mut given: Vec<&Site> = Vec::new();
+            let mut heap: Option<BinaryHeap<Reverse<Choice>>> = None;
+            let Some(team) = self.params.teams.iter().find(|t| t.name == spec.owner) else {
+                continue;
+            };
+            let mut sum = used.get(&spec.owner).copied().unwrap_or_default();
+            let steps = |i: &u32| {
+                let kept = job.progress.get(i).copied().unwrap_or_default();
+                (kept.as_secs_f64() / KEPT_STEP_S) as u64
+            };
+            if !job.progress.is_empty() {
+                pending.sort_by_key(|i| (Reverse(steps(i)), *i));
+            }
             for index in pending {
-                if !self.team_allows(&spec, &booked) {
-                    limited.push(uid.clone());
+                if !team.allows(&sum, &spec.need) {
+                    limited.push(uid);
                     break;
                 }
-                let Some(job) = self.jobs.get(uid) else {
+                sum.add(&spec.need);
+                let kept = Duration::from_secs_f64(steps(&index) as f64 * KEPT_STEP_S);
+                if heap.is_none() || tied || kept != group.kept {
+                    group.kept = kept;
+                    heap = Some(self.ranked(now, &group, &slots, &given));
+                }
+                let Some(queue) = &mut heap else {
                     break;
                 };
-                let kept = job.progress.get(&index).copied().unwrap_or_default();
-                let costs = Costs {
-                    ests: &ests,
-                    penalties: &penalties,
-                    crowding: &crowding,
-                };
-                match self.best(now, job, &slots, &costs, kept) {
-                    Some((i, _, true, est)) => {
-                        let s = &mut slots[i];
-                        s.free.sub(&spec.need);
-                        let host = s.id.clone();
-                        s.book(now, est + penalties[i], &spec.need);
-                        let attempt = self.next_attempt();
-                        log::debug!("placing task={uid}/{index} host={host} est_s={:.1} fetch_s={:.1} term={}", est.as_secs_f64(), penalties[i].as_secs_f64(), self.term.0);
-                        self.assign(now, uid, index, &host, attempt, est);
-                    }
-                    Some((i, at, false, est)) => {
-                        let s = &mut slots[i];
-                        s.book(at, est + penalties[i], &spec.need);
-                        booked
-                            .entry(spec.owner.clone())
-                            .or_default()
-                            .add(&spec.need);
-                        // The first booked task brings the image for those behind it.
-                        penalties[i] = Duration::ZERO;
-                        waiting.push(Waiting {
-                            uid: uid.clone(),
-                            wait: Some(at.saturating_duration_since(now)),
-                            est,
-                            coming: slots[i].up_at == Some(at),
-                        });
-                    }
-                    None => {
-                        booked
-                            .entry(spec.owner.clone())
-                            .or_default()
-                            .add(&spec.need);
-                        waiting.push(Waiting {
+                let Some(Reverse(c)) = queue.pop() else {
+                    push_waiting(
+                        &mut plan.waiting,
+                        Waiting {
                             uid: uid.clone(),
+                            count: 1,
                             wait: None,
                             est: ests.iter().min().copied().unwrap_or(spec.expected),
                             coming: false,
-                        });
+                        },
+                    );
+                    continue;
+                };
+                let s = &mut slots[c.slot];
+                if c.free_now {
+                    s.free.sub(&spec.need);
+                    s.book(now, c.est + c.penalty, &spec.need);
+                    s.started(job);
+                    given.push(&s.host.site);
+                    plan.starts.push(Start {
+                        uid: uid.clone(),
+                        index,
+                        host: s.host.id.clone(),
+                        est: c.est,
+                        fetch: c.penalty,
+                        gang: false,
+                    });
+                } else {
+                    s.book(c.at, c.est + c.penalty, &spec.need);
+                    if c.penalty > Duration::ZERO {
+                        // The first booked task brings the image for those behind it.
+                        s.booked_images.push(job.image);
                     }
+                    if reserve > 0 && s.up_at.is_none() {
+                        // Others would fill each gap before it is large enough.
+                        reserve -= 1;
+                        s.free = Need::default();
+                    }
+                    let wait = c.at.saturating_duration_since(now);
+                    longest = longest.max(wait);
+                    push_waiting(
+                        &mut plan.waiting,
+                        Waiting {
+                            uid: uid.clone(),
+                            count: 1,
+                            wait: Some(wait),
+                            est: c.est,
+                            coming: s.up_at == Some(c.at),
+                        },
+                    );
                 }
+                queue.extend(self.score(now, &group, &slots, c.slot).map(Reverse));
             }
+            used.insert(spec.owner.clone(), sum);
         }
-        self.preempt(now, &waiting, &slots, &within);
-        self.preempt_own(now, &limited, &within);
-        self.crowded_out.clear();
-        for w in waiting.iter().filter(|w| !w.coming) {
-            if let Some(j) = self.jobs.get(&w.uid) {
-                if !self.crowded_out.contains(&j.spec.need) {
-                    self.crowded_out.push(j.spec.need);
-                }
-            }
-        }
-        let spare = slots.into_iter().map(|s| (s.id, s.later)).collect();
-        Round { waiting, spare }
+        plan.kills = self.preempt(now, &plan.waiting, &slots, &within, &rates);
+        self.preempt_own(now, &limited, &within, &mut plan.kills);
+        plan.spare = slots.iter().map(|s| (s.host.id.clone(), s.later)).collect();
+        plan
     }
 
-    /// The queue: by urgency, then arrival, with three exceptions within one urgency. What a team's
-    /// guarantee covers goes before what is borrowed. What can still be on time goes before what
-    /// cannot: in arrival order alone a short overload makes every job after it late. And while jobs
-    /// with deadlines are late, the small ones go first, so that most are on time.
-    fn queue_order(&self, now: Instant, within: &HashSet<Uid>) -> Vec<Uid> {
-        let waits = |j: &&Job| !j.over() && j.waiting_count() > 0;
-        let late: HashSet<&Uid> = self
-            .jobs
-            .values()
+    /// The queue: by urgency, then arrival, with exceptions. A job that has long had nothing placed
+    /// goes before all others with a part of its tasks. Within an urgency, what a team's guarantee
+    /// covers goes before what is borrowed. What can still be on time goes before what cannot: in
+    /// arrival order alone a short overload makes every job after it late. And while jobs with
+    /// deadlines are late, the small ones go first, so that most are on time.
+    fn queue_order(&self, now: Instant, within: &HashSet<&Uid>) -> Vec<(&Uid, Option<u32>)> {
+        let waits = |j: &&Job| {
+            !j.over() && j.waiting_count() > 0 && j.backoff_until.is_none_or(|b| now >= b)
+        };
+        let jobs: Vec<&Job> = self
+            .order
+            .iter()
+            .filter_map(|u| self.jobs.get(u))
             .filter(waits)
-            .filter(|j| self.is_late(now, j))
-            .map(|j| &j.spec.uid)
             .collect();
-        let overloaded: HashSet<Urgency> = late
+        let late: Vec<bool> = jobs.iter().map(|j| self.is_late(now, j)).collect();
+        let overloaded: HashSet<Urgency> = jobs
             .iter()
-            .filter_map(|u| self.jobs.get(*u))
-            .filter(|j| j.spec.due.is_some())
-            .map(|j| j.spec.urgency)
+            .zip(&late)
+            .filter(|(j, late)| **late && j.spec.due.is_some())
+            .map(|(j, _)| j.spec.urgency)
             .collect();
-        let mut order = self.order.clone();
-        order.sort_by_cached_key(|u| {
-            let Some(j) = self.jobs.get(u) else {
-                return (Reverse(Urgency::Idle), true, true, 0);
-            };
-            let size = if overloaded.contains(&j.spec.urgency) {
-                self.size_step(&j.spec)
-            } else {
-                0
-            };
-            let late = late.contains(u);
-            (Reverse(j.spec.urgency), !within.contains(u), late, size)
-        });
-        order
+        let mut order: Vec<((Reverse<Urgency>, bool, bool, i64), &Job)> = jobs
+            .iter()
+            .zip(late)
+            .map(|(j, late)| {
+                let size = if overloaded.contains(&j.spec.urgency) {
+                    self.size_step(&j.spec)
+                } else {
+                    0
+                };
+                let borrowed = !within.contains(&j.spec.uid);
+                ((Reverse(j.spec.urgency), borrowed, late, size), *j)
+            })
+            .collect();
+        order.sort_by_key(|o| o.0);
+        let mut starved: Vec<&Job> = jobs
+            .iter()
+            .filter(|j| now.saturating_duration_since(j.last_placed) > STARVED)
+            .copied()
+            .collect();
+        starved.sort_by_key(|j| j.last_placed);
+        let first = starved
+            .into_iter()
+            .map(|j| (&j.spec.uid, Some(j.spec.shards.div_ceil(STARVED_PART))));
+        first
+            .chain(order.into_iter().map(|(_, j)| (&j.spec.uid, None)))
+            .collect()
     }
 
     /// A job's whole work, in doublings.
@@ -456,7 +736,7 @@
     }
 
     /// Jobs that fit into their team's guarantee together with its earlier unfinished jobs.
-    fn within_guarantee(&self) -> HashSet<Uid> {
+    fn within_guarantee(&self) -> HashSet<&Uid> {
         let mut jobs: Vec<&Job> = self.jobs.values().filter(|j| !j.over()).collect();
         jobs.sort_by_key(|j| j.stamp);
         let mut sums: HashMap<&TeamName, Need> = HashMap::new();
@@ -466,161 +746,220 @@
             sum.add(&j.spec.need.times(f64::from(j.spec.shards)));
             let team = self.params.teams.iter().find(|t| t.name == j.spec.owner);
             if team.is_some_and(|t| t.guarantees(sum)) {
-                within.insert(j.spec.uid.clone());
+                within.insert(&j.spec.uid);
             }
         }
         within
     }
 
+    /// Running tasks by slot, those that lose least first.
+    fn candidates<'a>(
+        &'a self,
+        now: Instant,
+        slots: &[Slot<'a>],
+        within: &HashSet<&Uid>,
+    ) -> Vec<Vec<Candidate<'a>>> {
+        let mut all = Vec::with_capacity(slots.len());
+        for s in slots {
+            let room = &self.types[s.type_index].room;
+            let mut list: Vec<Candidate<'a>> = Vec::new();
+            for task in s.host.placed.keys().filter(|_| s.up_at.is_none()) {
+                let Some(v) = self.jobs.get(&task.uid) else {
+                    continue;
+                };
+                let Some(a) = v.active.get(&task.index) else {
+                    continue;
+                };
+                if a.kill.is_some() || v.spec.kind == JobKind::Gang {
+                    continue;
+                }
+                let kept = v.progress.get(&task.index).copied().unwrap_or_default();
+                let covered = within.contains(&task.uid);
+                // What waited its turn for very long is not stopped right after its start.
+                let counted = covered || v.starved || self.start_promised(&v.spec);
+                if let Some(loss) = victim_loss(now, v, a, kept, counted) {
+                    list.push(Candidate {
+                        task,
+                        job: v,
+                        covered,
+                        loss: loss * v.spec.need.share_of(room),
+                    });
+                }
+            }
+            list.sort_by(|a, b| a.loss.total_cmp(&b.loss).then(a.task.cmp(b.task)));
+            all.push(list);
+        }
+        all
+    }
+
     /// Stops tasks for those that have a claim on their room: of lower urgency, or borrowed by a
     /// team beyond its guarantee while another lacks its own. Victims are those that lose least.
     fn preempt(
-        &mut self,
+        &self,
         now: Instant,
         waiting: &[Waiting],
-        slots: &[Slot],
-        within: &HashSet<Uid>,
-    ) {
+        slots: &[Slot<'_>],
+        within: &HashSet<&Uid>,
+        rates: &[f64],
+    ) -> Vec<(TaskId, bool)> {
+        let mut chosen: Vec<(TaskId, bool)> = Vec::new();
         let mut pool: Vec<Need> = slots.iter().map(|s| s.free).collect();
-        let mut chosen: Vec<(TaskId, Duration)> = Vec::new();
-        let mut taken: HashSet<TaskId> = HashSet::new();
         let mut usage = self.usage.clone();
-        for w in waiting {
+        let mut candidates: Option<Vec<Vec<Candidate<'_>>>> = None;
+        let mut taken: Vec<HashSet<usize>> = vec![HashSet::new(); slots.len()];
+        let mut rest = waiting;
+        while let Some(first) = rest.first() {
+            // What one job waits for is claimed together.
+            let same = rest.iter().take_while(|w| w.uid == first.uid).count();
+            let (group, others) = rest.split_at(same);
+            rest = others;
             if chosen.len() >= ROUND_VICTIMS {
                 break;
             }
-            let Some(job) = self.jobs.get(&w.uid) else {
+            let Some(job) = self.jobs.get(&first.uid) else {
                 continue;
             };
             let spec = &job.spec;
-            if w.wait.is_some_and(|x| x <= self.patience(spec)) {
+            let patience = self.patience(spec);
+            let mut left: usize = group
+                .iter()
+                .filter(|w| w.wait.is_none_or(|x| x > patience))
+                .map(|w| w.count)
+                .sum();
+            let covered = within.contains(&first.uid);
+            if left == 0 || spec.kind == JobKind::Gang {
                 continue;
             }
-            let covered = within.contains(&w.uid);
-            if spec.kind == JobKind::Gang || (!covered && spec.urgency <= Urgency::Standard) {
+            if !covered && spec.urgency <= Urgency::Standard {
                 continue;
             }
-            let site_of = self.site_of();
-            let mut best: Option<Claim> = None;
-            for (i, s) in slots.iter().enumerate() {
-                let t = &self.types[s.type_index];
-                if s.up_at.is_some() || !permits(job, &site_of, &t.name, &s.site, s.spot) {
-                    continue;
-                }
-                let Some(h) = self.hosts.get(&s.id) else {
-                    continue;
-                };
-                let fetch = self.penalty(now, h, t, spec).as_secs_f64();
-                if spec.need.fits(&pool[i]) {
-                    if best.as_ref().is_none_or(|b| fetch < b.0) {
-                        best = Some((fetch, i, Vec::new()));
-                    }
-                    continue;
-                }
-                let mut victims: Vec<(f64, &TaskId, &Job)> = Vec::new();
-                for task in h.placed.keys().filter(|t| !taken.contains(*t)) {
-                    let Some(v) = self.jobs.get(&task.uid) else {
-                        continue;
-                    };
-                    let Some(a) = v.active.get(&task.index) else {
-                        continue;
-                    };
-                    let borrowed = covered
-                        && !within.contains(&task.uid)
-                        && v.spec.owner != spec.owner
-                        && self.beyond_guarantee(&usage, &v.spec);
-                    let lower = v.spec.urgency < spec.urgency;
-                    if a.kill.is_some() || v.spec.kind == JobKind::Gang || !(lower || borrowed) {
-                        continue;
-                    }
-                    let kept = v.progress.get(&task.index).copied().unwrap_or_default();
-                    let counted = within.contains(&task.uid) || self.start_promised(&v.spec);
-                    if let Some(loss) = victim_loss(now, v, a, kept, counted) {
-                        victims.push((loss * v.spec.need.share_of(&t.room), task, v));
-                    }
-                }
-                victims.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(b.1)));
+            let candidates = candidates.get_or_insert_with(|| self.candidates(now, slots, within));
+            let claim = |i: usize,
+                         pool: &[Need],
+                         taken: &[HashSet<usize>],
+                         usage: &HashMap<TeamName, Need>| {
+                let s = &slots[i];
+                let mut loss = s.penalty(now, rates[s.type_index], job).as_secs_f64();
                 let mut room = pool[i];
-                let mut loss = fetch;
-                let mut list = Vec::new();
-                for (l, task, v) in victims {
+                let mut victims = Vec::new();
+                for (n, v) in candidates[i].iter().enumerate() {
                     if spec.need.fits(&room) {
                         break;
                     }
-                    room.add(&v.spec.need);
-                    loss += l;
-                    list.push((task.clone(), Duration::ZERO));
-                }
-                if spec.need.fits(&room) && best.as_ref().is_none_or(|b| loss < b.0) {
-                    best = Some((loss, i, list));
+                    let lower = v.job.spec.urgency < spec.urgency;
+                    let borrowed = || {
+                        covered
+                            && !v.covered
+                            && v.job.spec.owner != spec.owner
+                            && self.beyond_guarantee(usage, &v.job.spec)
+                    };
+                    if taken[i].contains(&n) || !(lower || borrowed()) {
+                        continue;
+                    }
+                    room.add(&v.job.spec.need);
+                    loss += v.loss;
+                    victims.push(n);
                 }
-            }
-            let Some((_, i, list)) = best else {
-                continue;
+                spec.need.fits(&room).then_some(Reverse(Claim {
+                    loss,
+                    slot: i,
+                    victims,
+                }))
             };
-            for (task, grace) in list {
-                if let Some(v) = self.jobs.get(&task.uid) {
-                    pool[i].add(&v.spec.need);
-                    if let Some(u) = usage.get_mut(&v.spec.owner) {
-                        u.sub(&v.spec.need);
+            let mut claims: BinaryHeap<Reverse<Claim>> = (0..slots.len())
+                .filter(|i| slots[*i].up_at.is_none() && self.admits(job, &slots[*i], &[]))
+                .filter_map(|i| claim(i, &pool, &taken, &usage))
+                .collect();
+            while left > 0 && chosen.len() < ROUND_VICTIMS {
+                let Some(Reverse(c)) = claims.pop() else {
+                    break;
+                };
+                left -= 1;
+                for n in c.victims {
+                    let v = &candidates[c.slot][n];
+                    pool[c.slot].add(&v.job.spec.need);
+                    if let Some(u) = usage.get_mut(&v.job.spec.owner) {
+                        u.sub(&v.job.spec.need);
                     }
+                    taken[c.slot].insert(n);
+                    chosen.push((v.task.clone(), false));
                 }
-                taken.insert(task.clone());
-                chosen.push((task, grace));
+                pool[c.slot].sub(&spec.need);
+                claims.extend(claim(c.slot, &pool, &taken, &usage));
             }
-            pool[i].sub(&spec.need);
-        }
-        for (task, grace) in chosen {
-            log::debug!("preempting task={task}");
-            self.kill(now, &task.uid, task.index, grace);
         }
+        chosen
     }
 
     /// Stops a team's own work of lower urgency where only the team's limit holds up a more urgent
     /// job of its.
-    fn preempt_own(&mut self, now: Instant, limited: &[Uid], within: &HashSet<Uid>) {
-        let mut chosen: Vec<TaskId> = Vec::new();
-        for uid in limited {
-            let Some(job) = self.jobs.get(uid) else {
+    fn preempt_own(
+        &self,
+        now: Instant,
+        limited: &[&Uid],
+        within: &HashSet<&Uid>,
+        chosen: &mut Vec<(TaskId, bool)>,
+    ) {
+        // Of each team concerned: what it uses beside what is being stopped, and who may be.
+        let mut teams: HashMap<&TeamName, (Need, Vec<(f64, TaskId, &Job)>)> = HashMap::new();
+        let limited: Vec<&Job> = limited
+            .iter()
+            .filter_map(|u| self.jobs.get(*u))
+            .filter(|j| j.spec.urgency > Urgency::Standard && j.spec.kind == JobKind::Batch)
+            .collect();
+        for job in &limited {
+            let owner = &job.spec.owner;
+            if !teams.contains_key(owner) {
+                let used = self.usage.get(owner).copied().unwrap_or_default();
+                teams.insert(owner, (used, Vec::new()));
+            }
+        }
+        if teams.is_empty() {
+            return;
+        }
+        let already: HashSet<TaskId> = chosen.iter().map(|c| c.0.clone()).collect();
+        for v in self.jobs.values() {
+            let Some((used, victims)) = teams.get_mut(&v.spec.owner) else {
                 continue;
             };
+            for (i, a) in &v.active {
+                let task = v.task(*i);
+                if a.kill.is_some() || already.contains(&task) {
+                    used.sub(&v.spec.need);
+                } else if v.spec.kind == JobKind::Batch {
+                    let kept = v.progress.get(i).copied().unwrap_or_default();
+                    let counted =
+                        within.contains(&v.spec.uid) || v.starved || self.start_promised(&v.spec);
+                    if let Some(loss) = victim_loss(now, v, a, kept, counted) {
+                        victims.push((loss, task, v));
+                    }
+                }
+            }
+        }
+        for (_, victims) in teams.values_mut() {
+            victims.sort_by(|a, b| b.0.total_cmp(&a.0).then(b.1.cmp(&a.1)));
+        }
+        for job in limited {
             let spec = &job.spec;
             let Some(team) = self.params.teams.iter().find(|t| t.name == spec.owner) else {
                 continue;
             };
-            if spec.urgency <= Urgency::Standard || spec.kind == JobKind::Gang {
+            let Some((used, victims)) = teams.get_mut(&spec.owner) else {
                 continue;
-            }
-            // What is being stopped counts as gone, so that no round stops more than is needed.
-            let mut used = self.usage.get(&spec.owner).copied().unwrap_or_default();
-            let mut victims: Vec<(f64, TaskId, Need)> = Vec::new();
-            for v in self.jobs.values().filter(|v| v.spec.owner == spec.owner) {
-                for (i, a) in &v.active {
-                    let task = v.task(*i);
-                    if a.kill.is_some() || chosen.contains(&task) {
-                        used.sub(&v.spec.need);
-                    } else if v.spec.urgency < spec.urgency && v.spec.kind == JobKind::Batch {
-                        let kept = v.progress.get(i).copied().unwrap_or_default();
-                        let counted = within.contains(&v.spec.uid) || self.start_promised(&v.spec);
-                        if let Some(loss) = victim_loss(now, v, a, kept, counted) {
-                            victims.push((loss, task, v.spec.need));
-                        }
-                    }
-                }
-            }
-            victims.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
+            };
             let wanted = spec.need.times(f64::from(job.waiting_count()));
-            for (_, task, need) in victims {
-                if team.allows(&used, &wanted) || chosen.len() >= ROUND_VICTIMS {
+            while !team.allows(used, &wanted) && chosen.len() < ROUND_VICTIMS {
+                let Some(at) = victims
+                    .iter()
+                    .rposition(|v| v.2.spec.urgency < spec.urgency)
+                else {
                     break;
-                }
-                used.sub(&need);
-                chosen.push(task);
+                };
+                let (_, task, v) = victims.remove(at);
+                used.sub(&v.spec.need);
+                chosen.push((task, true));
             }
-        }
-        for task in chosen {
-            log::debug!("preempting within the team's limit task={task}");
-            self.kill(now, &task.uid, task.index, Duration::ZERO);
+            used.add(&wanted);
         }
     }
 
@@ -650,18 +989,6 @@
         team.is_some_and(|t| !t.guarantees(&used))
     }
 
-    /// Whether the team's limit leaves room for one more, counting doubtful and booked tasks.
-    fn team_allows(&self, spec: &JobSpec, booked: &HashMap<TeamName, Need>) -> bool {
-        let Some(team) = self.params.teams.iter().find(|t| t.name == spec.owner) else {
-            return false;
-        };
-        let mut used = self.usage.get(&spec.owner).copied().unwrap_or_default();
-        if let Some(b) = booked.get(&spec.owner) {
-            used.add(b);
-        }
-        team.allows(&used, &spec.need)
-    }
-
     fn site_of(&self) -> impl Fn(&HostId) -> Option<Site> + '_ {
         |h| {
             let host = self.hosts.get(h)?;
@@ -669,152 +996,134 @@
         }
     }
 
-    /// The slot with the least Avail + Est + penalty; among equals the cheapest, then the one with the
-    /// least room left: dear and nearly idle machines empty and can be returned, and small tasks
-    /// leave the large machines to large ones.
-    fn best(
+    /// A gang starts only when every member has room now.
+    #[allow(clippy::too_many_arguments)]
+    fn plan_gang(
         &self,
         now: Instant,
         job: &Job,
-        slots: &[Slot],
-        costs: &Costs<'_>,
-        kept: Duration,
-    ) -> Option<(usize, Instant, bool, Duration)> {
-        let mut best: Option<Choice> = None;
-        let site_of = self.site_of();
-        for (i, s) in slots.iter().enumerate() {
-            let t = &self.types[s.type_index];
-            let Some((at, free_now)) = s.avail(now, &job.spec.need, &t.room) else {
-                continue;
-            };
-            if !permits(job, &site_of, &t.name, &s.site, s.spot) {
-                continue;
-            }
-            if job.error_hosts.len() < 3 && job.error_hosts.contains(&s.id) {
-                continue;
-            }
-            let est = costs.ests[s.type_index]
-                .saturating_sub(kept)
-                .mul_f64(s.speed);
-            let mut score = at.saturating_duration_since(now) + est + costs.penalties[i];
-            if costs.crowding[i] {
-                score += CROWDING;
-            }
-            let score = (score.as_secs_f64() / RESOLUTION_S).round() as i64;
-            let choice = Choice {
-                score,
-                price: s.price,
-                left: s.free.cpus - job.spec.need.cpus,
-                slot: i,
-                at,
-                free_now,
-                est,
-            };
-            if best.as_ref().is_none_or(|b| choice.beats(b)) {
-                best = Some(choice);
-            }
-        }
-        best.map(|b| (b.slot, b.at, b.free_now, b.est))
-    }
-
-    /// A gang starts only when every member has room now.
-    fn place_gang(
-        &mut self,
-        now: Instant,
-        uid: &Uid,
-        slots: &mut [Slot],
-        waiting: &mut Vec<Waiting>,
+        slots: &mut [Slot<'_>],
+        rates: &[f64],
+        used: &mut HashMap<TeamName, Need>,
+        starved: bool,
+        plan: &mut Plan,
     ) {
-        let Some(job) = self.jobs.get(uid) else {
-            return;
-        };
-        if !job.active.is_empty() {
-            return;
-        }
-        let spec = job.spec.clone();
+        let spec = &job.spec;
         let Some(team) = self.params.teams.iter().find(|t| t.name == spec.owner) else {
             return;
         };
-        let used = self.usage.get(&spec.owner).copied().unwrap_or_default();
-        if !team.allows(&used, &spec.need.times(f64::from(spec.shards))) {
+        let sum = used.get(&spec.owner).copied().unwrap_or_default();
+        let whole = spec.need.times(f64::from(spec.shards));
+        if !team.allows(&sum, &whole) {
             return;
         }
-        let site_of = self.site_of();
         let mut sites: Vec<Option<Site>> = vec![None];
         if spec.same_place {
-            sites = slots.iter().map(|s| Some(s.site.clone())).collect();
+            sites = slots.iter().map(|s| Some(s.host.site.clone())).collect();
             sites.sort();
             sites.dedup();
         }
+        // What a member costs on each slot, least first: the same for all of them.
+        let mut costs: Vec<(Duration, usize)> = slots
+            .iter()
+            .enumerate()
+            .filter(|(_, s)| s.up_at.is_none() && self.admits(job, s, &[]))
+            .map(|(i, s)| {
+                let est = self.history.est(spec, &self.types[s.type_index].name);
+                let fetch = s.penalty(now, rates[s.type_index], job);
+                (est.mul_f64(s.speed) + fetch, i)
+            })
+            .collect();
+        costs.sort();
+        let half = spec.shards.div_ceil(2) as usize;
         let mut chosen: Option<(Duration, Vec<usize>)> = None;
         for only in &sites {
-            let mut members = Vec::new();
-            let mut free: Vec<Need> = slots.iter().map(|s| s.free).collect();
-            let mut per_site: HashMap<Site, u32> = HashMap::new();
+            let mut members: Vec<usize> = Vec::new();
+            let mut per_site: HashMap<&Site, usize> = HashMap::new();
             let mut slowest = Duration::ZERO;
-            let half = spec.shards.div_ceil(2);
-            while members.len() < spec.shards as usize {
-                let candidate = slots
-                    .iter()
-                    .enumerate()
-                    .filter(|(i, s)| {
-                        s.up_at.is_none()
-                            && spec.need.fits(&free[*i])
-                            && only.as_ref().is_none_or(|o| o == &s.site)
-                            && (!spec.spread || per_site.get(&s.site).copied().unwrap_or(0) < half)
-                            && permits(
-                                job,
-                                &site_of,
-                                &self.types[s.type_index].name,
-                                &s.site,
-                                s.spot,
-                            )
-                    })
-                    .filter_map(|(i, s)| {
-                        let t = &self.types[s.type_index];
-                        let h = self.hosts.get(&s.id)?;
-                        let est = self.history.est(&spec, &t.name).mul_f64(s.speed);
-                        Some((i, est + self.penalty(now, h, t, &spec)))
-                    })
-                    .min_by(|a, b| a.1.cmp(&b.1).then(a.0.cmp(&b.0)));
-                let Some((i, score)) = candidate else {
+            for (cost, i) in &costs {
+                let s = &slots[*i];
+                if only.as_ref().is_some_and(|o| o != &s.host.site) {
+                    continue;
+                }
+                let missing = spec.shards as usize - members.len();
+                let mut n = spec.need.count_in(&s.free).min(missing);
+                if spec.spread {
+                    let there = per_site.entry(&s.host.site).or_default();
+                    n = n.min(half.saturating_sub(*there));
+                    *there += n;
+                }
+                if n > 0 {
+                    slowest = slowest.max(*cost);
+                    members.extend(std::iter::repeat_n(*i, n));
+                }
+                if members.len() == spec.shards as usize {
                     break;
-                };
-                free[i].sub(&spec.need);
-                *per_site.entry(slots[i].site.clone()).or_default() += 1;
-                slowest = slowest.max(score);
-                members.push(i);
+                }
             }
-            let whole = members.len() == spec.shards as usize;
-            if whole && chosen.as_ref().is_none_or(|(s, _)| slowest < *s) {
+            let complete = members.len() == spec.shards as usize;
+            if complete && chosen.as_ref().is_none_or(|(s, _)| slowest < *s) {
                 chosen = Some((slowest, members));
             }
         }
-        drop(site_of);
-        match chosen {
-            Some((_, members)) => {
-                let attempt = self.next_attempt();
-                for (index, i) in members.into_iter().enumerate() {
-                    let s = &mut slots[i];
-                    s.free.sub(&spec.need);
-                    let host = s.id.clone();
-                    let est = self
-                        .history
-                        .est(&spec, &self.types[s.type_index].name)
-                        .mul_f64(s.speed);
-                    s.book(now, est, &spec.need);
-                    self.assign(now, uid, index as u32, &host, attempt, est);
-                }
-            }
-            None => {
-                let est = spec.expected;
-                waiting.extend((0..spec.shards).take(ROUND_TASKS).map(|_| Waiting {
-                    uid: uid.clone(),
-                    wait: None,
+        if starved {
+            plan.starved.push(spec.uid.clone());
+        }
+        if let Some((_, members)) = chosen {
+            for (index, i) in members.into_iter().enumerate() {
+                let s = &mut slots[i];
+                let est = self
+                    .history
+                    .est(spec, &self.types[s.type_index].name)
+                    .mul_f64(s.speed);
+                let fetch = s.penalty(now, rates[s.type_index], job);
+                s.free.sub(&spec.need);
+                s.book(now, est, &spec.need);
+                s.started(job);
+                plan.starts.push(Start {
+                    uid: spec.uid.clone(),
+                    index: index as u32,
+                    host: s.host.id.clone(),
                     est,
-                    coming: false,
-                }));
+                    fetch,
+                    gang: true,
+                });
+            }
+            let mut sum = sum;
+            sum.add(&whole);
+            used.insert(spec.owner.clone(), sum);
+            return;
+        }
+        if starved {
+            // Room for all members at once never comes by itself while others fill each gap: the
+            // machines that can hold the gang soonest take nobody else.
+            let mut soon: Vec<(Instant, usize)> = costs
+                .iter()
+                .filter_map(|(_, i)| {
+                    let room = &self.types[slots[*i].type_index].room;
+                    slots[*i].avail(now, &spec.need, room).map(|a| (a.0, *i))
+                })
+                .collect();
+            soon.sort();
+            let mut missing = spec.shards as usize;
+            for (_, i) in soon {
+                if missing == 0 {
+                    break;
+                }
+                let room = &self.types[slots[i].type_index].room;
+                missing = missing.saturating_sub(spec.need.count_in(room));
+                slots[i].free = Need::default();
             }
         }
+        push_waiting(
+            &mut plan.waiting,
+            Waiting {
+                uid: spec.uid.clone(),
+                count: (spec.shards as usize).min(ROUND_TASKS),
+                wait: None,
+                est: spec.expected,
+                coming: false,
+            },
+        );
     }
 }
--- a/src/runtime/duties.rs
+++ b/src/runtime/duties.rs
@@ -66,11 +66,15 @@
     pub signs: Sender<Sign>,
 }
 
+/// Jobs' counts are for display: users may learn of them a second late.
+const PUBLISH_EVERY: Duration = Duration::from_millis(1000);
+
 /// The loop that owns the picture. Events in, actions out.
 pub fn core_loop(shared: &Shared, events: &Receiver<Event>, out: &Outlets) {
     let mut cluster: Option<Cluster> = None;
     let mut next_tick = Instant::now();
     let mut published = HashMap::new();
+    let mut next_publish = Instant::now();
     let mut next_metrics = Instant::now() + shared.settings.operations.metrics_every;
     while !shared.stop.stopped() {
         let left = next_tick.saturating_duration_since(Instant::now());
@@ -95,11 +99,14 @@
         let ticking = now >= next_tick;
         let actions = if ticking { c.tick(now) } else { c.flush(now) };
         if ticking {
+            let took = now.elapsed();
             next_tick = now + Duration::from_millis(150);
-            shared.meters.rounds.record(now.elapsed());
+            shared.meters.rounds.record(took);
+            c.tick_took(took);
         }
         perform(shared, c, actions, now, out);
-        if ticking {
+        if ticking && now >= next_publish {
+            next_publish = now + PUBLISH_EVERY;
             publish(shared, c, &mut published);
         }
         if now >= next_metrics {
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -158,7 +158,7 @@
     for (n, host) in ["i-1", "i-2"].iter().enumerate() {
         w.beat(host, 1, vec![]);
         let h = w.c.hosts.get_mut(&HostId::from(*host)).unwrap();
-        h.images.push_back(("img-1".into(), 2.0));
+        h.images.push_back((ImageKey::of("img-1"), 2.0));
         for _ in 0..4 {
             h.slowness.add(if n == 0 { 1.5 } else { 0.0 });
         }
