Followers relay reports in batches and send commands; the leader's part of the store's rates is its own

Cause: the leader answered every worker itself (857 connections) and its writes shared an even third of the store's rate with submissions: intents waited, submissions got 503, machines stood idle. Now workers are spread over the nodes, their reports reach the leader in frames of up to 32, commands go out through the followers, the leader has 65% of the changes and 40% of the requests, endings wait 1.5 s for company.

--- a/src/core/cluster.rs
+++ b/src/core/cluster.rs
@@ -23,6 +23,7 @@
 const ROUND_LEAST: Duration = Duration::from_millis(100);
 const ROUND_MOST: Duration = Duration::from_millis(1500);
 /// Renting and returning, and what else walks all hosts or tasks, need no more than this.
+const ENDINGS_WAIT: Duration = Duration::from_millis(1500);
 const CAPACITY_EVERY: Duration = Duration::from_millis(450);
 const SWEEP_EVERY: Duration = Duration::from_millis(450);
 
@@ -56,6 +57,9 @@
     pub stamp: u64,
     pub version: u64,
     pub written: u64,
+    /// Since when it holds endings that are not written. They wait a little for company; intents
+    /// do not.
+    pub ended_since: Option<Instant>,
     /// Ended attempts that must not be forgotten before version `.2` is durable.
     pub held: Vec<(u32, Attempt, u64)>,
     pub done: u64,
@@ -134,10 +138,19 @@
         c.version += 1;
         c
     }
-    pub fn dirty_chunks(&self) -> Vec<u32> {
-        let dirty = self.chunks.iter().filter(|(_, c)| c.version > c.written);
+    /// Chunks to be written now: with intents at once, with endings alone after a while.
+    pub fn dirty_chunks(&self, now: Instant) -> Vec<u32> {
+        let due = |i: u32, c: &Chunk| {
+            let waited = |t: Instant| now.saturating_duration_since(t) >= ENDINGS_WAIT;
+            c.version > c.written
+                && (c.ended_since.is_none_or(waited) || self.unlaunched(i).next().is_some())
+        };
+        let dirty = self.chunks.iter().filter(|(i, c)| due(**i, c));
         dirty.map(|(i, _)| *i).collect()
     }
+    pub fn is_dirty(&self) -> bool {
+        self.chunks.values().any(|c| c.version > c.written)
+    }
     pub fn chunk_value(&self, chunk: u32) -> ChunkValue {
         let range = chunk * CHUNK..chunk.saturating_add(1).saturating_mul(CHUNK);
         ChunkValue {
@@ -160,6 +173,9 @@
         if let Some(c) = self.chunks.get_mut(&chunk) {
             c.stamp = revision;
             c.written = c.written.max(version);
+            if c.written == c.version {
+                c.ended_since = None;
+            }
             c.held.retain(|(_, _, v)| *v > version);
         }
     }
@@ -666,6 +682,7 @@
         let chunk = job.touch(index);
         let version = chunk.version;
         chunk.held.push((index, attempt, version));
+        chunk.ended_since.get_or_insert(now);
         if done {
             // A gang's members are all marked when the first one is done.
             let bit = 1 << (index % CHUNK);
--- a/src/core/ledger.rs
+++ b/src/core/ledger.rs
@@ -155,7 +155,7 @@
                 continue;
             }
             let mut all = true;
-            for index in job.dirty_chunks() {
+            for index in job.dirty_chunks(now) {
                 let value = job.chunk_value(index);
                 let size = 80 + 48 * value.active.len();
                 if ops.len() + 1 > most || bytes + size > BATCH_BYTES {
@@ -178,7 +178,7 @@
             if !all {
                 break;
             }
-            if ops.len() == before {
+            if ops.len() == before && !job.is_dirty() {
                 self.dirty_jobs.remove(&uid);
             }
         }
--- a/src/net/agent.rs
+++ b/src/net/agent.rs
@@ -1,46 +1,46 @@
 //! Commands sent straight to workers.
 
 use super::http;
-use super::wire::{Commands, WireDirective, WireReport};
+use super::wire::{self, Commands, WireDirective, WireReport};
 use crate::core::model::{Directive, Epoch, Report};
 use std::net::SocketAddr;
 use std::time::Duration;
 
 /// A hanging machine must not hold a sender for long: the next report carries the commands anyway.
-const LIMIT: Duration = Duration::from_millis(2000);
+pub const LIMIT: Duration = Duration::from_millis(2000);
 
-pub fn client() -> ureq::Agent {
-    http::agent(Duration::from_millis(1000), 2)
+/// `idle` connections to workers are kept open.
+pub fn client(idle: usize) -> ureq::Agent {
+    ureq::AgentBuilder::new()
+        .timeout_connect(Duration::from_millis(1000))
+        .max_idle_connections(idle)
+        .max_idle_connections_per_host(1)
+        .redirects(0)
+        .build()
 }
 
-/// The worker's report after the commands, executed or not; None: no answer.
-pub fn send(
-    agent: &ureq::Agent,
-    endpoint: &str,
-    epoch: Epoch,
-    tenure: u64,
-    directives: &[Directive],
-) -> Option<Report> {
-    let address: SocketAddr = endpoint.parse().ok()?;
-    let body = Commands {
+/// Commands in the form in which they go to a worker.
+pub fn encode(epoch: Epoch, tenure: u64, directives: &[Directive]) -> Vec<u8> {
+    wire::encode(&Commands {
         epoch: epoch.0,
         tenure,
         directives: directives.iter().map(WireDirective::from).collect(),
-    };
-    let url = format!("http://{address}/commands");
-    let a = http::call(agent, "POST", &url, Some(&body), LIMIT).ok()?;
-    match a.status {
-        200 | 409 => a.decode::<WireReport>()?.into_report(),
-        _ => None,
-    }
+    })
 }
 
-/// The worker's report, without commanding anything.
-pub fn status(agent: &ureq::Agent, endpoint: &str) -> Option<Report> {
+/// Sends commands, or without any asks for the report. The worker's report as it came, whether the
+/// commands were executed or not; None: no answer.
+pub fn deliver(agent: &ureq::Agent, endpoint: &str, body: Option<&[u8]>) -> Option<Vec<u8>> {
     let address: SocketAddr = endpoint.parse().ok()?;
-    let url = format!("http://{address}/status");
-    let a = http::call::<()>(agent, "GET", &url, None, LIMIT).ok()?;
-    (a.status == 200)
-        .then(|| a.decode::<WireReport>()?.into_report())
-        .flatten()
+    let (method, path) = match body {
+        Some(_) => ("POST", "commands"),
+        None => ("GET", "status"),
+    };
+    let url = format!("http://{address}/{path}");
+    let a = http::exchange(agent, method, &url, body, LIMIT).ok()?;
+    matches!(a.status, 200 | 409).then_some(a.body)
+}
+
+pub fn report(body: &[u8]) -> Option<Report> {
+    wire::decode::<WireReport>(body)?.into_report()
 }
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -14,7 +14,7 @@
 use crate::runtime::service::{problem, Shared};
 use crossbeam::channel::{bounded, Receiver, Sender, TrySendError};
 use std::io::Read;
-use std::net::{SocketAddr, TcpListener};
+use std::net::{IpAddr, SocketAddr, TcpListener};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -63,18 +63,19 @@
     let (beats, beat_queue) = bounded::<Request>(64);
     let (users, user_queue) = bounded::<Request>(64);
     let readers = Arc::new(AtomicUsize::new(0));
-    for _ in 0..handlers.div_ceil(2) {
+    // Reports wait for the core or for the leader, one thread each.
+    for _ in 0..handlers * 2 {
         let (s, q, r) = (shared.clone(), beat_queue.clone(), readers.clone());
         spawn(
             "beats",
-            Box::new(move || pool(&q, &r, |_, _, body| (s.beat(body), None))),
+            Box::new(move || pool(&q, &r, |from, _, _, body| (s.beat(from, body), None))),
         )?;
     }
     for _ in 0..handlers {
         let (s, q, r) = (shared.clone(), user_queue.clone(), readers.clone());
         spawn(
             "users",
-            Box::new(move || pool(&q, &r, |m, p, body| user_request(&s, m, p, body))),
+            Box::new(move || pool(&q, &r, |_, m, p, body| user_request(&s, m, p, body))),
         )?;
     }
     let s = shared.clone();
@@ -171,7 +172,7 @@
 fn pool(
     queue: &Receiver<Request>,
     readers: &Arc<AtomicUsize>,
-    handle: impl Fn(&Method, &str, &[u8]) -> Answer,
+    handle: impl Fn(Option<IpAddr>, &Method, &str, &[u8]) -> Answer,
 ) {
     while let Ok(request) = queue.recv() {
         let Some((request, body)) = read_body(request, readers) else {
@@ -179,7 +180,10 @@
         };
         let path = path_of(&request);
         let (answer, retry) = match body {
-            Some(b) => handle(request.method(), &path, &b),
+            Some(b) => {
+                let from = request.remote_addr().map(|a| a.ip());
+                handle(from, request.method(), &path, &b)
+            }
             None => (problem(400, "the body is too long or incomplete"), None),
         };
         respond(request, answer, retry);
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -84,12 +84,24 @@
     url: &str,
     body: Option<&T>,
     limit: Duration,
+) -> Result<Answer, CallError> {
+    let body = body.map(|b| wire::encode(b));
+    exchange(agent, method, url, body.as_deref(), limit)
+}
+
+/// One call with a body that is encoded already.
+pub fn exchange(
+    agent: &ureq::Agent,
+    method: &str,
+    url: &str,
+    body: Option<&[u8]>,
+    limit: Duration,
 ) -> Result<Answer, CallError> {
     let request = agent.request(method, url).timeout(limit);
     let result = match body {
         Some(b) => request
             .set("Content-Type", "application/msgpack")
-            .send_bytes(&wire::encode(b)),
+            .send_bytes(b),
         None if method == "POST" => request.send_bytes(&[]),
         None => request.call(),
     };
--- a/src/net/peer.rs
+++ b/src/net/peer.rs
@@ -3,12 +3,13 @@
 use borsh::{BorshDeserialize, BorshSerialize};
 use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::Mutex;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Far above any frame we send; a longer one is not ours.
 const FRAME_LIMIT: u32 = 1024 * 1024;
-const IDLE_KEPT: usize = 4;
+const IDLE_KEPT: usize = 16;
 
 #[derive(Clone, Debug, PartialEq, BorshSerialize, BorshDeserialize)]
 pub struct Hello {
@@ -19,6 +20,8 @@
     pub highest: u64,
     /// The state service answers the sender.
     pub store_ok: bool,
+    /// Workers that report to the sender.
+    pub workers: u32,
     /// From the leader: jobs whose counts changed (done, running), for display.
     pub progress: Vec<(String, u32, u32)>,
     /// From the leader: jobs that are over.
@@ -28,14 +31,21 @@
 #[derive(Clone, Debug, PartialEq, BorshSerialize, BorshDeserialize)]
 pub enum Ask {
     Hello(Hello),
-    /// A worker's report, as it came.
-    Beat(Vec<u8>),
+    /// Workers' reports, as they came.
+    Beats(Vec<Vec<u8>>),
+    /// Commands for a worker, in the wire's form. None: only its report is asked for.
+    Command {
+        endpoint: String,
+        body: Option<Vec<u8>>,
+    },
 }
 
 #[derive(Clone, Debug, PartialEq, BorshSerialize, BorshDeserialize)]
 pub enum Reply {
     Hello(Hello),
-    Beat { status: u16, body: Vec<u8> },
+    Beats(Vec<(u16, Vec<u8>)>),
+    /// The worker's report, as it came. None: it did not answer.
+    Command(Option<Vec<u8>>),
 }
 
 pub fn write_frame<T: BorshSerialize>(w: &mut impl Write, message: &T) -> io::Result<()> {
@@ -63,14 +73,41 @@
     pub member: String,
     address: SocketAddr,
     idle: Mutex<Vec<TcpStream>>,
+    /// Commands in a row that it could not deliver, and until when it gets no more.
+    failures: AtomicU32,
+    rests_until: Mutex<Option<Instant>>,
 }
 
+/// A peer that delivers nothing may itself be cut off from the workers.
+const FAILURES: u32 = 6;
+const REST: Duration = Duration::from_secs(10);
+
 impl Peer {
     pub fn new(member: &str, address: SocketAddr) -> Peer {
         Peer {
             member: member.to_owned(),
             address,
             idle: Mutex::new(Vec::new()),
+            failures: AtomicU32::new(0),
+            rests_until: Mutex::new(None),
+        }
+    }
+
+    /// Whether commands to workers may go through this peer.
+    pub fn delivers(&self, now: Instant) -> bool {
+        self.rests_until
+            .lock()
+            .map_or(true, |r| r.is_none_or(|t| now >= t))
+    }
+
+    pub fn delivered(&self, ok: bool, now: Instant) {
+        if ok {
+            self.failures.store(0, Ordering::Relaxed);
+        } else if self.failures.fetch_add(1, Ordering::Relaxed) + 1 >= FAILURES {
+            self.failures.store(0, Ordering::Relaxed);
+            if let Ok(mut r) = self.rests_until.lock() {
+                *r = Some(now + REST);
+            }
         }
     }
 
--- a/src/net/store.rs
+++ b/src/net/store.rs
@@ -8,7 +8,7 @@
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 pub enum StoreError {
@@ -164,8 +164,47 @@
 #[derive(Clone)]
 pub struct Store {
     client: Client,
-    reads: Arc<Bucket>,
-    writes: Arc<Bucket>,
+    budgets: Arc<Budgets>,
+}
+
+/// The rates that this node keeps to. Users' requests and the leader's work have their own, so that
+/// neither takes what the other needs.
+pub struct Budgets {
+    users: (Bucket, Bucket),
+    leader: (Bucket, Bucket),
+}
+
+/// The leader's part of all requests and of all changes. The rest is the users', node by node.
+const LEADER_REQUESTS: f64 = 0.4;
+const LEADER_CHANGES: f64 = 0.65;
+/// Bursts of one second's worth are allowed; a little less allows for the clocks.
+const BURST_S: f64 = 0.9;
+
+impl Budgets {
+    /// Of the deployment's rates for `nodes` nodes. Only one of them leads, so each holds the
+    /// leader's part ready.
+    pub fn new(rps: f64, write_rps: f64, nodes: usize, now: Instant) -> Budgets {
+        let nodes = nodes.max(1) as f64;
+        let bucket = |rate: f64| Bucket::new(rate, BURST_S, now);
+        Budgets {
+            users: (
+                bucket(rps * (1.0 - LEADER_REQUESTS) / nodes),
+                bucket(write_rps * (1.0 - LEADER_CHANGES) / nodes),
+            ),
+            leader: (
+                bucket(rps * LEADER_REQUESTS),
+                bucket(write_rps * LEADER_CHANGES),
+            ),
+        }
+    }
+
+    pub fn leave(&self, rank: Rank, writes: usize, now: Instant) -> bool {
+        let (requests, changes) = match rank {
+            Rank::User => &self.users,
+            Rank::Leader => &self.leader,
+        };
+        requests.take_at(1.0, now) && (writes == 0 || changes.take_at(writes as f64, now))
+    }
 }
 
 fn sent(r: Result<Answer, CallError>) -> Result<Answer, StoreError> {
@@ -178,22 +217,19 @@
 }
 
 impl Store {
-    pub fn new(client: Client, reads: Arc<Bucket>, writes: Arc<Bucket>) -> Store {
+    pub fn new(client: Client, budgets: Budgets) -> Store {
         Store {
             client,
-            reads,
-            writes,
+            budgets: Arc::new(budgets),
         }
     }
 
     fn leave(&self, rank: Rank, writes: usize) -> Result<(), StoreError> {
-        if !self.reads.take(1.0, rank) {
-            return Err(StoreError::Unavailable);
-        }
-        if writes > 0 && !self.writes.take(writes as f64, rank) {
-            return Err(StoreError::Unavailable);
+        if self.budgets.leave(rank, writes, Instant::now()) {
+            Ok(())
+        } else {
+            Err(StoreError::Unavailable)
         }
-        Ok(())
     }
 
     pub fn get<T: DeserializeOwned>(
--- a/src/runtime/budget.rs
+++ b/src/runtime/budget.rs
@@ -3,16 +3,13 @@
 use std::sync::Mutex;
 use std::time::Instant;
 
-/// Who asks. What the leader needs to keep leading and launching may use the whole bucket; users'
-/// requests leave a reserve for it.
+/// Who asks: what the leader needs to keep leading and launching, or a user's request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Rank {
     Leader,
     User,
 }
 
-const RESERVE: f64 = 0.25;
-
 pub struct Bucket {
     rate: f64,
     size: f64,
@@ -30,21 +27,17 @@
         }
     }
 
-    pub fn take(&self, n: f64, rank: Rank) -> bool {
-        self.take_at(n, rank, Instant::now())
+    pub fn take(&self, n: f64) -> bool {
+        self.take_at(n, Instant::now())
     }
 
-    pub fn take_at(&self, n: f64, rank: Rank, now: Instant) -> bool {
+    pub fn take_at(&self, n: f64, now: Instant) -> bool {
         let mut s = self.state.lock().unwrap_or_else(|e| e.into_inner());
         let passed = now.saturating_duration_since(s.1).as_secs_f64();
         s.0 = (s.0 + passed * self.rate).min(self.size);
         s.1 = now;
-        let floor = match rank {
-            Rank::Leader => 0.0,
-            Rank::User => self.size * RESERVE,
-        };
         // A request larger than the bucket goes through when the bucket is full.
-        if s.0 - n >= floor || (n > self.size - floor && s.0 >= self.size - 1e-9) {
+        if s.0 >= n || (n > self.size && s.0 >= self.size - 1e-9) {
             s.0 -= n;
             true
         } else {
--- a/src/runtime/duties.rs
+++ b/src/runtime/duties.rs
@@ -25,7 +25,8 @@
 pub enum Event {
     Lead(Box<Cluster>),
     StepDown,
-    Beat(Report, Sender<BeatReply>),
+    /// Reports that came together, answered together.
+    Beats(Vec<Report>, Sender<Vec<BeatReply>>),
     Job(Term, Box<JobSpec>, u64),
     Withdrawn(Term, Uid),
     Written(Term, BatchOutcome),
@@ -136,24 +137,27 @@
         _ => {}
     }
     let Some(c) = cluster.as_mut() else {
-        if let Event::Beat(_, reply) = event {
-            let _ = reply.send(BeatReply::NotLeader);
+        if let Event::Beats(reports, reply) = event {
+            let _ = reply.send(reports.iter().map(|_| BeatReply::NotLeader).collect());
         }
         return;
     };
     let term = c.term;
     match event {
-        Event::Beat(report, reply) => {
-            let answer = match c.on_report(now, report, true) {
-                Answer::Accept { epoch, directives } => BeatReply::Accept(epoch, directives),
-                Answer::Ignore => BeatReply::NotLeader,
-                Answer::Superseded(t) => {
-                    // Never waits: the elector may be waiting for this loop. It will be seen again.
-                    let _ = out.signs.try_send(Sign::Term(t));
-                    BeatReply::NotLeader
+        Event::Beats(reports, reply) => {
+            let answers = reports.into_iter().map(|report| {
+                match c.on_report(now, report, true) {
+                    Answer::Accept { epoch, directives } => BeatReply::Accept(epoch, directives),
+                    Answer::Ignore => BeatReply::NotLeader,
+                    Answer::Superseded(t) => {
+                        // Never waits: the elector may be waiting for this loop. It will be seen
+                        // again.
+                        let _ = out.signs.try_send(Sign::Term(t));
+                        BeatReply::NotLeader
+                    }
                 }
-            };
-            let _ = reply.send(answer);
+            });
+            let _ = reply.send(answers.collect());
         }
         Event::Job(t, spec, stamp) if t == term => c.on_job(*spec, stamp),
         Event::Withdrawn(t, uid) if t == term => c.on_withdrawn(now, &uid),
@@ -407,7 +411,7 @@
 /// Carries out rentals and returns, in order, within the cloud's rate.
 pub fn cloud_clerk(shared: &Shared, bucket: &Bucket, orders: &Receiver<CloudOrder>) {
     while let Ok(order) = orders.recv() {
-        while !bucket.take(1.0, Rank::Leader) {
+        while !bucket.take(1.0) {
             if shared.stop.wait(Duration::from_millis(150)) {
                 return;
             }
@@ -449,11 +453,11 @@
             continue;
         };
         let now = Instant::now();
-        if now >= next_list && bucket.take(1.0, Rank::User) {
+        if now >= next_list && bucket.take(1.0) {
             next_list = now + Duration::from_secs(15);
             read_list(shared, term, bucket);
         }
-        if now >= next_types && bucket.take(1.0, Rank::User) {
+        if now >= next_types && bucket.take(1.0) {
             next_types = now + Duration::from_secs(5);
             if let Some(t) = shared.cloud.types() {
                 next_types = now + Duration::from_secs(120);
@@ -478,7 +482,7 @@
         }
         let end = !more || page.is_empty();
         all.extend(page);
-        if end || !bucket.take(1.0, Rank::Leader) {
+        if end || !bucket.take(1.0) {
             break;
         }
     }
@@ -511,26 +515,115 @@
     }
 }
 
-/// Sends direct commands.
-pub fn send_commands(shared: &Shared, orders: &Receiver<SendOrder>) {
-    let client = agent::client();
+/// Sends direct commands. The followers do the sending where they can: the leader's processor is the
+/// one that binds.
+pub fn send_commands(shared: &Shared, client: &ureq::Agent, orders: &Receiver<SendOrder>) {
     while let Ok(o) = orders.recv() {
-        let report = match &o.what {
+        let body = match &o.what {
             Order::Commands(epoch, tenure, directives) => {
-                agent::send(&client, &o.endpoint, *epoch, *tenure, directives)
+                Some(agent::encode(*epoch, *tenure, directives))
             }
-            Order::Status => agent::status(&client, &o.endpoint),
+            Order::Status => None,
         };
-        if shared
-            .events
-            .send(Event::Sent(o.term, o.host, report))
-            .is_err()
-        {
+        let answer = match helper(shared, &o.host) {
+            Some(p) => through_peer(p, client, &o.endpoint, body),
+            None => agent::deliver(client, &o.endpoint, body.as_deref()),
+        };
+        let report = answer.and_then(|b| agent::report(&b));
+        let event = Event::Sent(o.term, o.host, report);
+        if shared.events.send(event).is_err() {
             return;
         }
     }
 }
 
+/// The peer that sends to this host: always the same one, so that its connections are used again.
+fn helper<'a>(shared: &'a Shared, host: &HostId) -> Option<&'a Peer> {
+    let now = Instant::now();
+    let live = shared.view.live_peers(now);
+    let able: Vec<&std::sync::Arc<Peer>> = shared
+        .peers
+        .iter()
+        .filter(|p| p.delivers(now) && live.iter().any(|(m, _)| m == &p.member))
+        .collect();
+    if able.is_empty() {
+        return None;
+    }
+    let n = ImageKey::of(&host.0).0 as usize % able.len();
+    Some(able[n])
+}
+
+fn through_peer(
+    peer: &Peer,
+    client: &ureq::Agent,
+    endpoint: &str,
+    body: Option<Vec<u8>>,
+) -> Option<Vec<u8>> {
+    let ask = Ask::Command {
+        endpoint: endpoint.to_owned(),
+        body,
+    };
+    let limit = agent::LIMIT + Duration::from_millis(500);
+    let answer = peer.ask(&ask, limit);
+    let now = Instant::now();
+    match answer {
+        Ok(Reply::Command(answer)) => {
+            peer.delivered(answer.is_some(), now);
+            answer
+        }
+        Ok(_) => None,
+        Err(e) => {
+            peer.delivered(false, now);
+            let Ask::Command { body, .. } = ask else {
+                return None;
+            };
+            // A refusal came at once, so there is time to send it ourselves.
+            let refused = e.kind() == std::io::ErrorKind::ConnectionRefused;
+            refused
+                .then(|| agent::deliver(client, endpoint, body.as_deref()))
+                .flatten()
+        }
+    }
+}
+
+/// A worker's report on its way to the leader.
+pub struct Relayed {
+    pub body: Vec<u8>,
+    pub reply: Sender<Option<(u16, Vec<u8>)>>,
+}
+
+/// Reports in one frame at most.
+const RELAY_BATCH: usize = 32;
+const RELAY_LIMIT: Duration = Duration::from_millis(2500);
+
+/// Takes reports from this node's workers to the leader, as many at a time as have come meanwhile.
+pub fn relay(shared: &Shared, queue: &Receiver<Relayed>) {
+    while let Ok(first) = queue.recv() {
+        let mut batch = vec![first];
+        while batch.len() < RELAY_BATCH {
+            match queue.try_recv() {
+                Ok(r) => batch.push(r),
+                Err(_) => break,
+            }
+        }
+        let (bodies, replies): (Vec<_>, Vec<_>) =
+            batch.into_iter().map(|r| (r.body, r.reply)).unzip();
+        let leader = match &shared.view.read().role {
+            RoleView::Follower(l) => l.clone(),
+            RoleView::Leader(_) => None,
+        };
+        let peer = leader.and_then(|l| shared.peers.iter().find(|p| p.member == l));
+        let answers = match peer.map(|p| p.ask(&Ask::Beats(bodies), RELAY_LIMIT)) {
+            Some(Ok(Reply::Beats(answers))) => answers,
+            _ => Vec::new(),
+        };
+        let mut answers = answers.into_iter();
+        for r in replies {
+            let _ = r.send(answers.next());
+        }
+    }
+}
+
 fn hello(shared: &Shared, progress: Vec<(String, u32, u32)>, over: Vec<String>) -> Hello {
     let now = Instant::now();
     let i = shared.view.read();
@@ -545,6 +638,7 @@
         leads,
         highest,
         store_ok: shared.view.store_ok(now),
+        workers: shared.workers.count(now),
         progress,
         over,
     }
@@ -592,7 +686,8 @@
 }
 
 fn heard_hello(shared: &Shared, h: &Hello) {
-    shared.view.peer_said(&h.member, h.store_ok, Instant::now());
+    let now = Instant::now();
+    shared.view.peer_said(&h.member, h.store_ok, h.workers, now);
     if let Some(term) = h.leads {
         let own = shared.view.read().highest;
         if Term(term) > own {
@@ -625,9 +720,9 @@
                 }
                 Reply::Hello(hello(shared, Vec::new(), Vec::new()))
             }
-            Ask::Beat(body) => {
-                let (status, body) = shared.local_beat(&body);
-                Reply::Beat { status, body }
+            Ask::Beats(bodies) => Reply::Beats(shared.local_beats(&bodies)),
+            Ask::Command { endpoint, body } => {
+                Reply::Command(agent::deliver(&shared.agent, &endpoint, body.as_deref()))
             }
         };
         if peer::write_frame(&mut stream, &reply).is_err() {
--- a/src/runtime/mod.rs
+++ b/src/runtime/mod.rs
@@ -7,3 +7,4 @@
 pub mod service;
 pub mod stop;
 pub mod view;
+pub mod workers;
--- a/src/runtime/service.rs
+++ b/src/runtime/service.rs
@@ -1,22 +1,23 @@
 //! One controller node: everything that its threads share, and how they are started and stopped.
 
 use super::budget::Bucket;
-use super::duties::{self, BeatReply, Event, Outlets};
+use super::duties::{self, BeatReply, Event, Outlets, Relayed};
 use super::elector::{self, Sign};
 use super::metrics::Meter;
 use super::stop::Stop;
 use super::view::{RoleView, View};
+use super::workers::Workers;
+use crate::net::agent;
 use crate::net::cloud::Cloud;
 use crate::net::front;
 use crate::net::http::Client;
 use crate::net::peer::Peer;
-use crate::net::store::Store;
+use crate::net::store::{Budgets, Store};
 use crate::net::wire::{self, BeatAnswer, Elsewhere, WireDirective, WireReport};
 use crate::settings::Settings;
 use crossbeam::channel::{bounded, Sender};
-use std::collections::HashMap;
-use std::net::TcpListener;
-use std::sync::{Arc, Mutex};
+use std::net::{IpAddr, TcpListener};
+use std::sync::Arc;
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
@@ -31,6 +32,9 @@
     pub starts: Meter,
 }
 
+/// Frames of reports under way to the leader at a time.
+const RELAYS: usize = 2;
+
 pub struct Shared {
     pub settings: Settings,
     pub meters: Meters,
@@ -43,95 +47,105 @@
     pub stop: Stop,
     /// Wakes the cloud's reader.
     pub wake: Sender<()>,
-    /// Workers that were sent to the leader lately: one that comes back cannot reach it.
-    redirected: Mutex<HashMap<String, Instant>>,
+    /// For commands to workers.
+    pub agent: ureq::Agent,
+    pub workers: Workers,
+    relays: Sender<Relayed>,
 }
 
-/// A worker that returns within this time of being sent to the leader is relayed instead.
-const REDIRECT_MEMORY: Duration = Duration::from_secs(60);
-
 impl Shared {
     pub fn step_down(&self) {
         let _ = self.events.send(Event::StepDown);
     }
 
-    /// A report at this node, answered only if this node leads.
-    pub fn local_beat(&self, body: &[u8]) -> (u16, Vec<u8>) {
-        let Some(report) = wire::decode::<WireReport>(body).and_then(|r| r.into_report()) else {
-            return problem(400, "malformed report");
-        };
+    /// Reports at this node, answered only if this node leads.
+    pub fn local_beats(&self, bodies: &[Vec<u8>]) -> Vec<(u16, Vec<u8>)> {
+        let mut answers: Vec<(u16, Vec<u8>)> = Vec::with_capacity(bodies.len());
+        let mut reports = Vec::with_capacity(bodies.len());
+        let mut places = Vec::with_capacity(bodies.len());
+        for (n, body) in bodies.iter().enumerate() {
+            match wire::decode::<WireReport>(body).and_then(|r| r.into_report()) {
+                Some(r) => {
+                    answers.push(problem(503, "not leading"));
+                    places.push(n);
+                    reports.push(r);
+                }
+                None => answers.push(problem(400, "malformed report")),
+            }
+        }
+        if reports.is_empty() {
+            return answers;
+        }
         let (reply, answer) = bounded(1);
-        let event = Event::Beat(report, reply);
-        if self
-            .events
-            .send_timeout(event, Duration::from_millis(500))
-            .is_err()
-        {
-            return problem(503, "busy");
+        let event = Event::Beats(reports, reply);
+        let queued = self.events.send_timeout(event, Duration::from_millis(500));
+        if queued.is_err() {
+            return answers;
         }
-        match answer.recv_timeout(Duration::from_secs(3)) {
-            Ok(BeatReply::Accept(epoch, directives)) => {
+        let taken = answer.recv_timeout(Duration::from_secs(3));
+        for (n, a) in places.into_iter().zip(taken.unwrap_or_default()) {
+            if let BeatReply::Accept(epoch, directives) = a {
                 let body = BeatAnswer {
                     epoch: epoch.0,
                     directives: directives.iter().map(WireDirective::from).collect(),
                 };
-                (200, wire::encode(&body))
+                answers[n] = (200, wire::encode(&body));
             }
-            _ => problem(503, "not leading"),
         }
+        answers
     }
 
-    /// A report at any node: the leader decides; a follower sends the worker there, and relays for
-    /// workers that cannot reach it.
-    pub fn beat(&self, body: &[u8]) -> (u16, Vec<u8>) {
+    /// A report at any node. The leader decides; a follower relays, so that the work of reading and
+    /// answering is shared. A node with far more workers than its part sends some to another.
+    pub fn beat(&self, from: Option<IpAddr>, body: &[u8]) -> (u16, Vec<u8>) {
+        let now = Instant::now();
         let role = self.view.read().role.clone();
         let leader = match role {
-            RoleView::Leader(_) => return self.local_beat(body),
+            RoleView::Leader(_) => None,
             RoleView::Follower(None) => return problem(503, "no leader"),
             RoleView::Follower(Some(l)) if l == self.settings.member => {
                 return problem(503, "no leader")
             }
-            RoleView::Follower(Some(l)) => l,
+            RoleView::Follower(Some(l)) => Some(l),
         };
-        #[derive(serde::Deserialize)]
-        #[serde(rename_all = "PascalCase")]
-        struct JustHost {
-            host: String,
+        if let Some(ip) = from {
+            self.workers.saw(ip, now);
+            let peers = self.view.live_peers(now);
+            let own = (self.settings.member.as_str(), leader.as_deref());
+            if let Some(to) = self.workers.elsewhere(ip, own, &peers, now) {
+                return elsewhere(to);
+            }
         }
-        let Some(who) = wire::decode::<JustHost>(body) else {
-            return problem(400, "malformed report");
+        let Some(leader) = leader else {
+            let mut answers = self.local_beats(&[body.to_vec()]);
+            return answers.pop().unwrap_or_else(|| problem(503, "busy"));
         };
-        let now = Instant::now();
-        let relay = {
-            let mut r = self.redirected.lock().unwrap_or_else(|e| e.into_inner());
-            if r.len() > 10_000 {
-                r.retain(|_, t| now.saturating_duration_since(*t) < REDIRECT_MEMORY);
-            }
-            match r.get(&who.host) {
-                Some(t) if now.saturating_duration_since(*t) < REDIRECT_MEMORY => true,
-                _ => {
-                    r.insert(who.host.clone(), now);
-                    false
-                }
-            }
+        let (reply, answer) = bounded(1);
+        let relayed = Relayed {
+            body: body.to_vec(),
+            reply,
         };
-        if relay {
-            if let Some(p) = self.peers.iter().find(|p| p.member == leader) {
-                let ask = crate::net::peer::Ask::Beat(body.to_vec());
-                if let Ok(crate::net::peer::Reply::Beat { status, body }) =
-                    p.ask(&ask, Duration::from_millis(2500))
-                {
-                    return (status, body);
-                }
+        if self.relays.try_send(relayed).is_ok() {
+            let limit = Duration::from_millis(3500);
+            match answer.recv_timeout(limit) {
+                Ok(Some(a)) => return a,
+                Ok(None) | Err(_) => {}
             }
         }
-        let elsewhere = Elsewhere {
-            controller: Some(leader),
-        };
-        (421, wire::encode(&elsewhere))
+        if let Some(ip) = from {
+            self.workers.lost(ip);
+        }
+        elsewhere(leader)
     }
 }
 
+fn elsewhere(controller: String) -> (u16, Vec<u8>) {
+    let answer = Elsewhere {
+        controller: Some(controller),
+    };
+    (421, wire::encode(&answer))
+}
+
 pub fn problem(status: u16, error: &str) -> (u16, Vec<u8>) {
     let body = wire::Problem {
         error: error.to_owned(),
@@ -150,13 +164,12 @@
         let now = Instant::now();
         let front_listener = front::bind(settings.front)?;
         let peer_listener = TcpListener::bind(settings.peer_bind)?;
-        let share = settings.nodes.max(1) as f64;
-        let reads = Arc::new(Bucket::new(settings.state_rps / share, 0.9, now));
-        let writes = Arc::new(Bucket::new(settings.state_write_rps / share, 0.9, now));
+        let (rps, write_rps) = (settings.state_rps, settings.state_write_rps);
+        let budgets = Budgets::new(rps, write_rps, settings.nodes, now);
         let connect = Duration::from_millis(800);
         let meters = Meters::default();
         let client = Client::new(settings.state, connect, 16, meters.store.clone());
-        let store = Store::new(client, reads, writes);
+        let store = Store::new(client, budgets);
         let patience = Duration::from_secs(2);
         let client = Client::new(settings.cloud, patience, 2, meters.cloud.clone());
         let cloud = Cloud::new(client);
@@ -173,6 +186,9 @@
             .map(|s| Arc::new(Peer::new(&s.member, s.address)))
             .collect();
         let agents = settings.operations.agents;
+        let sockets = settings.quota.sockets;
+        let settings_report = settings.params.report;
+        let (relays, relay_queue) = bounded(256);
         let shared = Arc::new(Shared {
             settings,
             meters,
@@ -184,7 +200,9 @@
             peers,
             stop: Stop::new(),
             wake,
-            redirected: Mutex::new(HashMap::new()),
+            agent: agent::client(sockets / 4),
+            workers: Workers::new(settings_report),
+            relays,
         });
         let mut threads = Vec::new();
         let mut spawn = |name: &str, f: Box<dyn FnOnce() + Send>| -> std::io::Result<()> {
@@ -220,7 +238,12 @@
         )?;
         for _ in 0..agents {
             let (s, q) = (shared.clone(), order_queue.clone());
-            spawn("agent", Box::new(move || duties::send_commands(&s, &q)))?;
+            let send = move || duties::send_commands(&s, &s.agent, &q);
+            spawn("agent", Box::new(send))?;
+        }
+        for _ in 0..RELAYS {
+            let (s, q) = (shared.clone(), relay_queue.clone());
+            spawn("relay", Box::new(move || duties::relay(&s, &q)))?;
         }
         let s = shared.clone();
         spawn(
--- a/src/runtime/view.rs
+++ b/src/runtime/view.rs
@@ -29,10 +29,18 @@
     finals: HashMap<Uid, Verdict>,
     final_order: VecDeque<Uid>,
     store_failing: Option<Instant>,
-    peers: HashMap<String, (Instant, bool)>,
+    peers: HashMap<String, PeerWord>,
     pub live_jobs: usize,
 }
 
+/// What a peer said of itself last.
+#[derive(Clone, Copy)]
+struct PeerWord {
+    at: Instant,
+    store_ok: bool,
+    workers: u32,
+}
+
 pub struct View {
     inner: RwLock<Inner>,
 }
@@ -96,10 +104,27 @@
             .is_none_or(|t| now.saturating_duration_since(t) < STORE_LOST)
     }
 
-    pub fn peer_said(&self, member: &str, store_ok: bool, now: Instant) {
-        self.write()
+    pub fn peer_said(&self, member: &str, store_ok: bool, workers: u32, now: Instant) {
+        let word = PeerWord {
+            at: now,
+            store_ok,
+            workers,
+        };
+        self.write().peers.insert(member.to_owned(), word);
+    }
+
+    /// Peers heard of late, with the workers that report to each.
+    pub fn live_peers(&self, now: Instant) -> Vec<(String, u32)> {
+        let i = self.read();
+        let live = |p: &PeerWord| now.saturating_duration_since(p.at) < PEER_FRESH;
+        let mut peers: Vec<(String, u32)> = i
             .peers
-            .insert(member.to_owned(), (now, store_ok));
+            .iter()
+            .filter(|(_, p)| live(p))
+            .map(|(m, p)| (m.clone(), p.workers))
+            .collect();
+        peers.sort();
+        peers
     }
 
     /// Being taken out of the load balancer is costly: only when a peer can do what we cannot.
@@ -108,7 +133,7 @@
             return true;
         }
         let i = self.read();
-        let served = |p: &(Instant, bool)| p.1 && now.saturating_duration_since(p.0) < PEER_FRESH;
+        let served = |p: &PeerWord| p.store_ok && now.saturating_duration_since(p.at) < PEER_FRESH;
         !i.peers.values().any(served)
     }
 }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -60,7 +60,7 @@
         Operations {
             leader_lease: Duration::from_millis(3000),
             handlers: 8,
-            agents: 4,
+            agents: 12,
             metrics_every: Duration::from_secs(60),
         }
     }
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -182,6 +182,7 @@
         leads: Some(4),
         highest: 4,
         store_ok: true,
+        workers: 3,
         progress: vec![("wk-000001".into(), 1, 2)],
         over: vec![],
     });
