--- a/src/core/capacity.rs
+++ b/src/core/capacity.rs
@@ -38,8 +38,17 @@
 /// Stand-ins on their way at a time, or this part of the ordinary machines.
 const REPLACING: u32 = 3;
 const REPLACING_PART: u32 = 6;
-/// Rentals asked for and not answered at a time: more would only queue for the cloud's rate.
-const MOST_RENTALS: usize = 12;
+/// Rentals asked for and not answered at a time. More would only queue for the cloud's rate, each for
+/// the few machines that were missing when it was asked for.
+const MOST_RENTALS: usize = 3;
+
+/// A machine is thinly used below this share. One in so many is emptied at a time.
+const THIN: f64 = 0.55;
+const MOVING_PART: usize = 12;
+/// Tasks move that have run for this long, so that their start counts, and have this much left
+/// beyond saving and starting again.
+const MOVE_RAN: Duration = Duration::from_secs(31);
+const MOVE_REST: Duration = Duration::from_secs(20);
 
 type Offer = (TypeName, Site, bool);
 
@@ -141,6 +150,9 @@
         self.return_hosts(now);
         self.rent(now, round);
         self.replace_dear(now, round);
+        if round.waiting.is_empty() {
+            self.consolidate(now);
+        }
         self.repeat_rentals(now);
     }
 
@@ -437,9 +449,21 @@
                 }
             }
             let all: u32 = kinds.values().map(|k| k.0).sum();
-            let allowed = REPLACING
+            // What is free on spot machines takes the tasks over without any stand-in.
+            let room: f64 = self
+                .free_room(now)
+                .iter()
+                .filter(|(h, _)| h.spot)
+                .map(|(_, free)| free.cpus)
+                .sum();
+            let ordinary = self.hosts.values().filter(|h| !h.spot);
+            let wanted: f64 = ordinary.map(|h| h.used.cpus).sum();
+            let mut allowed = REPLACING
                 .max(all / REPLACING_PART)
                 .saturating_sub(on_the_way);
+            if room >= wanted {
+                allowed = 0;
+            }
             let candidate = kinds.into_iter().find(|(_, k)| k.1 > 0);
             if let Some((name, (ordinary, busy))) = candidate.filter(|_| allowed > 0) {
                 let name = name.clone();
@@ -540,6 +564,105 @@
         }
     }
 
+    /// Moves the tasks of thinly used machines together, once nothing waits: the long tasks that are
+    /// left when a burst is over would keep a machine each. Only what saves on being stopped moves,
+    /// and only where the rest of its run is worth the trouble.
+    fn consolidate(&mut self, now: Instant) {
+        let mut room: Vec<(&Host, Need, f64)> = self
+            .free_room(now)
+            .into_iter()
+            .filter_map(|(h, free)| {
+                let t = self.host_type(&h.host_type)?;
+                Some((h, free, h.used.share_of(&t.room)))
+            })
+            .collect();
+        // The fullest take; of equally full ones the cheaper.
+        let price = |h: &Host| {
+            let t = self.host_type(&h.host_type);
+            t.map_or(0.0, |t| t.price(h.spot) / t.room.cpus.max(1.0))
+        };
+        room.sort_by(|a, b| {
+            b.2.total_cmp(&a.2)
+                .then(price(a.0).total_cmp(&price(b.0)))
+                .then(a.0.id.cmp(&b.0.id))
+        });
+        let headroom = self.headroom(now);
+        let moving = self.hosts.values().filter(|h| h.draining).count();
+        let mut most = (room.len() / MOVING_PART).max(1).saturating_sub(moving);
+        let mut moves: Vec<(HostId, Vec<(TaskId, Duration)>)> = Vec::new();
+        let mut last = room.len();
+        while most > 0 && last > 1 {
+            last -= 1;
+            let (h, _, used) = &room[last];
+            if *used > THIN || h.placed.is_empty() {
+                continue;
+            }
+            let Some(tasks) = self.movable(now, h) else {
+                continue;
+            };
+            let mut free: Vec<(usize, Need)> = Vec::new();
+            let fits = h.placed.values().all(|need| {
+                let here = (0..last).find(|i| {
+                    let taken = free.iter().rev().find(|f| f.0 == *i);
+                    need.fits(taken.map_or(&room[*i].1, |f| &f.1)) && room[*i].2 > 0.0
+                });
+                here.is_some_and(|i| {
+                    let taken = free.iter().rev().find(|f| f.0 == i);
+                    let mut left = taken.map_or(room[i].1, |f| f.1);
+                    left.sub(need);
+                    free.push((i, left));
+                    true
+                })
+            });
+            if !fits {
+                continue;
+            }
+            let enough = headroom.iter().all(|(tasks, need)| {
+                let slots: usize = room[..last].iter().map(|r| need.count_in(&r.1)).sum();
+                slots >= *tasks as usize + h.placed.len()
+            });
+            if !enough {
+                break;
+            }
+            moves.push((h.id.clone(), tasks));
+            for (i, left) in free {
+                room[i].1 = left;
+            }
+            room.truncate(last);
+            most -= 1;
+        }
+        for (id, tasks) in moves {
+            log::info!(
+                "host is emptied, its tasks move together host={id} tasks={}",
+                tasks.len()
+            );
+            if let Some(h) = self.hosts.get_mut(&id) {
+                h.draining = true;
+            }
+            for (t, grace) in tasks {
+                self.kill(now, &t.uid, t.index, grace);
+            }
+        }
+    }
+
+    /// The tasks of a host with the grace that each needs, when all of them can move.
+    fn movable(&self, now: Instant, h: &Host) -> Option<Vec<(TaskId, Duration)>> {
+        let mut tasks = Vec::with_capacity(h.placed.len());
+        for task in h.placed.keys() {
+            let job = self.jobs.get(&task.uid)?;
+            let a = job.active.get(&task.index)?;
+            let ran = now.saturating_duration_since(a.running_since?);
+            let rest = a.est.saturating_sub(ran);
+            let plain = job.spec.kind == JobKind::Batch && !job.spec.same_place && !job.spec.spread;
+            let worth = job.spec.snapshot * 2 + MOVE_REST;
+            if !plain || !job.spec.saves() || a.kill.is_some() || ran < MOVE_RAN || rest < worth {
+                return None;
+            }
+            tasks.push((task.clone(), job.spec.snapshot + Duration::from_secs(2)));
+        }
+        Some(tasks)
+    }
+
     /// A machine that is being emptied is paid for in any case: while work waits, it takes some.
     fn keep_draining(&mut self, round: &Round) {
         let mut draining: Vec<(&Host, Need)> = Vec::new();
@@ -667,6 +790,7 @@
                         let (t, s, spot) = r.offer.clone();
                         let mut h = Host::new(id, t, s, spot, term, now);
                         h.booting = Some(now);
+                        h.own = true;
                         h
                     });
                 }
@@ -715,9 +839,12 @@
             let probe = !h.reported && !h.probed && !l.endpoint.is_empty();
             if probe && l.phase == ListedPhase::Running {
                 h.probed = true;
+                // Nearly all are in their first session; another one answers with its report too.
                 self.actions.push(Action::Probe {
                     host: l.id.clone(),
                     endpoint: l.endpoint.clone(),
+                    epoch: h.epoch,
+                    tenure: 1,
                 });
             }
             if l.phase == ListedPhase::Failed && !h.returning {
@@ -737,8 +864,18 @@
             .max(p.report.mul_f64(3.5));
         let up = |h: &&Host| h.reported && !h.returning;
         let silent = |h: &Host| now.saturating_duration_since(h.last_heard) > silent_after;
+        // Its reports come, but for as long nothing that was answered has reached it.
+        let deaf = |h: &Host| {
+            let since = match h.must_show {
+                Some((_, t)) => Some(t),
+                None if h.fenced || h.own => None,
+                None => Some(h.known_since),
+            };
+            h.reported && since.is_some_and(|t| now.saturating_duration_since(t) > silent_after)
+        };
         let all = self.hosts.values().filter(up).count();
-        let quiet = self.hosts.values().filter(up).filter(|h| silent(h)).count();
+        let lost = |h: &&Host| silent(h) || deaf(h);
+        let quiet = self.hosts.values().filter(up).filter(lost).count();
         // When most fall silent at once, the fault is more likely on our side.
         let ours = quiet >= 3 && quiet * 2 > all;
         // Room for each class's headroom, on all machines that take tasks.
@@ -783,6 +920,8 @@
                 && (h.reported || now.saturating_duration_since(h.known_since) > p.lease)
             {
                 leaving.push((h.id.clone(), "silent"));
+            } else if deaf(h) && !ours {
+                leaving.push((h.id.clone(), "nothing reaches it"));
             } else if let Some(since) = h.idle_since {
                 let keep = if h.spot {
                     p.tuning.idle_spot
--- a/src/core/cluster.rs
+++ b/src/core/cluster.rs
@@ -18,6 +18,10 @@
 /// Clocks drift by 0.05%; a lease counts as run out only after this much more of it, and a second.
 const DRIFT: f64 = 1.002;
 
+/// Machines this near to their type's mean count as it.
+const SAME_SPEED: std::ops::Range<f64> = 0.0..1.25;
+/// What was told to a host shows in its reports within one interval, or this.
+const HEED_LEAST: Duration = Duration::from_secs(4);
 /// Rounds take one part in so many of the time, and come within these bounds.
 const ROUND_SHARE: u32 = 5;
 const ROUND_LEAST: Duration = Duration::from_millis(100);
@@ -50,6 +54,8 @@
     pub measured: bool,
     pub est: Duration,
     pub kill: Option<Kill>,
+    /// When the launch was first given.
+    pub given: Option<Instant>,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -90,6 +96,8 @@
     pub last_placed: Instant,
     /// It once waited so long that it went before all others.
     pub starved: bool,
+    /// Tasks that still go before all others.
+    pub turn: u32,
 }
 
 impl Job {
@@ -101,6 +109,7 @@
             arrived,
             last_placed: arrived,
             starved: false,
+            turn: 0,
             withdrawn: false,
             withdrawn_at: None,
             finished: false,
@@ -222,6 +231,16 @@
     pub reported: bool,
     /// Its report was asked for in this term.
     pub probed: bool,
+    /// Rented in this term: no earlier life of it can have left reports behind.
+    pub own: bool,
+    /// It is given nothing until it shows this token, first answered then: what reached us from it
+    /// does not prove that answers and commands reach it.
+    pub must_show: Option<(Epoch, Instant)>,
+    /// Shown by a worker whose reports counted from the beginning again. Reports below it are its
+    /// predecessor's, however high they count.
+    pub floor: Option<Epoch>,
+    /// The token by which such a worker would show that it is alive.
+    pub restart_probe: Option<Epoch>,
     pub known_since: Instant,
     pub last_heard: Instant,
     pub last_answer: Option<Instant>,
@@ -269,6 +288,10 @@
             fenced: false,
             reported: false,
             probed: false,
+            own: false,
+            must_show: None,
+            floor: None,
+            restart_probe: None,
             known_since: now,
             last_heard: now,
             last_answer: None,
@@ -291,6 +314,16 @@
             lease_spent: false,
         }
     }
+    /// Whether answers and commands of this term are known to reach it.
+    pub fn heeds(&self) -> bool {
+        (self.fenced || self.own) && self.must_show.is_none()
+    }
+    fn doubt(&mut self, now: Instant) {
+        if self.must_show.is_none() {
+            self.epoch = self.epoch.next();
+            self.must_show = Some((self.epoch, now));
+        }
+    }
     pub fn has_image(&self, image: ImageKey) -> bool {
         self.images.iter().any(|(i, _)| *i == image)
     }
@@ -308,7 +341,14 @@
     /// How much the measured run times here exceed the type's, drawn to 1 while few.
     pub fn speed(&self) -> f64 {
         let weight = f64::from(self.slowness.count.min(4)) / 4.0;
-        (self.slowness.mean * weight).exp().clamp(0.7, 20.0)
+        let speed = (self.slowness.mean * weight).exp().clamp(0.7, 20.0);
+        // Machines of a type differ by a tenth, and the measurements by more: of many machines the
+        // luckiest would be waited for while others stand idle.
+        if SAME_SPEED.contains(&speed) {
+            1.0
+        } else {
+            speed
+        }
     }
 }
 
@@ -326,6 +366,8 @@
     Probe {
         host: HostId,
         endpoint: String,
+        epoch: Epoch,
+        tenure: u64,
     },
     Rent {
         claim: String,
@@ -496,6 +538,7 @@
                     measured: false,
                     est: job.spec.expected,
                     kill: None,
+                    given: None,
                 },
             );
         }
@@ -603,9 +646,11 @@
             measured: false,
             est,
             kill: None,
+            given: None,
         };
         job.active.insert(index, active);
         job.last_placed = now;
+        job.turn = job.turn.saturating_sub(1);
         job.touch(index);
         let need = job.spec.need;
         h.placed.insert(job.task(index), need);
@@ -772,17 +817,42 @@
                 now,
             )
         });
-        if h.reported && (r.tenure, r.serial) <= (h.tenure, h.serial) {
-            // Overtaken by a newer message: nothing is learned from it, but when it is a live
-            // worker's report crossing a direct command, its lease must still be renewed.
-            if beat {
-                h.last_answer = Some(now);
-            }
+        if h.floor.is_some_and(|f| r.epoch < f) {
+            // The predecessor's.
             return Answer::Accept {
                 epoch: h.epoch,
                 directives: Vec::new(),
             };
         }
+        if h.reported && (r.tenure, r.serial) <= (h.tenure, h.serial) {
+            let silent =
+                now.saturating_duration_since(h.last_heard) > self.params.report.mul_f64(2.5);
+            let restarted = h.restart_probe.is_some_and(|p| r.epoch >= p);
+            if !restarted {
+                // Overtaken by a newer message, or a late copy: nothing is learned from it. When it
+                // is a live worker's report that crossed a direct command, its answer renews the
+                // lease, counted from its sending; that was before the newer message came.
+                if beat {
+                    h.last_answer = h.last_answer.max(Some(h.last_heard));
+                }
+                // Or the machine was restarted under its name and counts from the beginning. No
+                // copy can show a token that was first given out after it was sent.
+                if silent && beat && h.restart_probe.is_none() {
+                    h.epoch = h.epoch.next();
+                    h.restart_probe = Some(h.epoch);
+                }
+                return Answer::Accept {
+                    epoch: h.epoch,
+                    directives: Vec::new(),
+                };
+            }
+            log::info!("host was restarted host={}", r.host);
+            h.floor = h.restart_probe;
+            h.images.clear();
+            h.fetching.clear();
+            h.last_answer = h.last_answer.max(Some(now));
+        }
+        h.restart_probe = None;
         if !h.reported {
             h.idle_since = h.placed.is_empty().then_some(now);
             h.avoid_until = None;
@@ -813,6 +883,9 @@
         if r.epoch.term() == term {
             h.fenced = true;
             h.epoch = h.epoch.max(r.epoch);
+            if h.must_show.is_some_and(|(e, _)| r.epoch >= e) {
+                h.must_show = None;
+            }
         }
         if new_tenure {
             h.images.clear();
@@ -821,6 +894,8 @@
             // from the last answer of the old one, it would seem to have run out under tasks that
             // direct commands start in the new session.
             h.last_answer = h.last_answer.max(Some(now));
+            // Reports that were answered, and yet its lease ran out.
+            h.doubt(now);
         }
         h.eviction = match (r.eviction, h.eviction) {
             (Some(d), _) => {
@@ -871,6 +946,7 @@
             }
         }
         self.prove_absent(now, &r, &listed);
+        self.heeded(now, &r, &listed);
         let Some(h) = self.hosts.get_mut(&r.host) else {
             return Answer::Ignore;
         };
@@ -1028,6 +1104,31 @@
         }
     }
 
+    /// Whether the report shows what the host was told a while ago. A machine whose reports come
+    /// through while nothing reaches it would otherwise be given task after task.
+    fn heeded(&mut self, now: Instant, r: &Report, listed: &HashSet<(TaskId, Attempt)>) {
+        let patience = self.params.report.max(HEED_LEAST);
+        let Some(h) = self.hosts.get(&r.host) else {
+            return;
+        };
+        let long = |t: Instant| now.saturating_duration_since(t) > patience;
+        let ignored = h.placed.keys().any(|t| {
+            let a = self.jobs.get(&t.uid).and_then(|j| j.active.get(&t.index));
+            a.is_some_and(|a| {
+                let shown = listed.contains(&(t.clone(), a.attempt));
+                let lost = !shown && a.kill.is_none() && a.given.is_some_and(long);
+                let kill = a.kill.as_ref();
+                let runs = a.seen != Some(TaskPhase::Flushing);
+                lost || (shown && runs && kill.is_some_and(|k| long(k.since + k.wind_down)))
+            })
+        });
+        if ignored {
+            if let Some(h) = self.hosts.get_mut(&r.host) {
+                h.doubt(now);
+            }
+        }
+    }
+
     /// Attempts placed on this host that its report does not list.
     fn prove_absent(&mut self, now: Instant, r: &Report, listed: &HashSet<(TaskId, Attempt)>) {
         let Some(h) = self.hosts.get(&r.host) else {
@@ -1120,6 +1221,7 @@
             } else if !known && !over && !leaving {
                 a.launch_epoch = a.launch_epoch.max(epoch);
                 a.tenure = Some(tenure);
+                a.given.get_or_insert(now);
                 out.push(Directive::Launch {
                     task,
                     attempt: a.attempt,
--- a/src/core/placement.rs
+++ b/src/core/placement.rs
@@ -20,6 +20,9 @@
 const ROUND_TASKS: usize = 4000;
 /// Scores closer than this are equal: reports come no more often than every half second.
 const RESOLUTION_S: f64 = 1.0;
+/// From a task's predicted end to the next one's start in its place. Also, of many predicted ends the
+/// earliest is mostly an error: without this, tasks wait for busy machines while others stand idle.
+const TURNAROUND: Duration = Duration::from_millis(2500);
 /// Kept progress of restarted tasks counts in steps of this, so that they share a scoring too.
 const KEPT_STEP_S: f64 = 5.0;
 
@@ -36,8 +39,11 @@
 const PREEMPT_PATIENCE: Duration = Duration::from_secs(2);
 /// A task that has run for less is left alone: stopped so early, its start would have been in vain.
 const VICTIM_RAN: Duration = Duration::from_secs(31);
-/// Every job begins within four minutes. One none of whose tasks was placed for this long goes
-/// before all others, whatever their urgency or size, with a part of its tasks; then again.
+/// What has waited for longer than this goes before the rest of its urgency, by arrival: the
+/// exceptions that favour small, punctual and guaranteed work end there.
+const AGED: Duration = Duration::from_secs(150);
+/// Every job begins within four minutes. One none of whose tasks was placed for this long has a turn:
+/// it goes before all others, whatever their urgency or size, with one part in so many of its tasks.
 const STARVED: Duration = Duration::from_secs(100);
 const STARVED_PART: u32 = 8;
 /// Of these, so many (one in 32 of the job) keep the machine that they wait for free of others.
@@ -306,6 +312,11 @@
 }
 impl Eq for Claim {}
 
+/// A job's place in the queue: urgency, not aged, borrowed, late, size.
+type Place = (Reverse<Urgency>, bool, bool, bool, i64);
+/// What a team uses beside what is being stopped, and its tasks with what stopping each loses.
+type OwnWork<'a> = (Need, Vec<(f64, TaskId, &'a Job)>);
+
 /// Where waiting tasks are counted together: waits this close are one.
 fn push_waiting(waiting: &mut Vec<Waiting>, w: Waiting) {
     if let Some(last) = waiting.last_mut() {
@@ -327,7 +338,6 @@
     kills: Vec<(TaskId, bool)>,
     waiting: Vec<Waiting>,
     spare: Vec<(HostId, Need)>,
-    starved: Vec<Uid>,
 }
 
 impl Cluster {
@@ -335,6 +345,7 @@
         let fresh = now.saturating_duration_since(h.last_heard) <= self.params.report.mul_f64(2.5);
         h.reported
             && fresh
+            && h.heeds()
             && !h.returning
             && !h.quarantined
             && !h.draining
@@ -412,13 +423,23 @@
         let est = g.ests[s.type_index].saturating_sub(g.kept).mul_f64(s.speed);
         let penalty = s.penalty(now, g.rates[s.type_index], g.job);
         let mut score = at.saturating_duration_since(now) + est + penalty;
+        if !free_now && s.up_at.is_none() {
+            // The end of what runs there must be reported, and the next intent written.
+            score += TURNAROUND;
+        }
         if g.crowding[s.type_index] {
             score += CROWDING;
         }
         Some(Choice {
             score: (score.as_secs_f64() / RESOLUTION_S).round() as i64,
             price: s.price,
-            left: s.free.cpus - need.cpus,
+            // What starts fills a machine up; what waits does so where most of its room is free
+            // already, or it would change its machine each round and never find it empty enough.
+            left: if free_now {
+                s.free.cpus - need.cpus
+            } else {
+                need.cpus - s.free.cpus
+            },
             slot: i,
             at,
             free_now,
@@ -452,12 +473,14 @@
     /// One round over the queue. Starts what can start; returns what waits.
     pub(super) fn place(&mut self, now: Instant) -> Round {
         self.sort_order();
-        let plan = self.plan(now);
-        for uid in &plan.starved {
-            if let Some(j) = self.jobs.get_mut(uid) {
+        for j in self.jobs.values_mut() {
+            let waited = now.saturating_duration_since(j.last_placed) > STARVED;
+            if waited && j.turn == 0 && !j.over() && j.waiting_count() > 0 {
+                j.turn = j.spec.shards.div_ceil(STARVED_PART);
                 j.starved = true;
             }
         }
+        let plan = self.plan(now);
         let mut gang: Option<(Uid, Attempt)> = None;
         for s in plan.starts {
             // A gang's members share their attempt's number.
@@ -509,7 +532,6 @@
             kills: Vec::new(),
             waiting: Vec::new(),
             spare: Vec::new(),
-            starved: Vec::new(),
         };
         let mut looked = 0;
         let mut longest = Duration::ZERO;
@@ -552,9 +574,6 @@
             pending.drain(..before.min(pending.len()));
             looked += pending.len();
             *taken.entry(uid).or_default() += pending.len();
-            if part.is_some() {
-                plan.starved.push(uid.clone());
-            }
             let mut reserve = part.map_or(0, |_| spec.shards.div_ceil(RESERVED_PART));
             let ests: Vec<Duration> = self
                 .types
@@ -685,7 +704,7 @@
             .filter(|(j, late)| **late && j.spec.due.is_some())
             .map(|(j, _)| j.spec.urgency)
             .collect();
-        let mut order: Vec<((Reverse<Urgency>, bool, bool, i64), &Job)> = jobs
+        let mut order: Vec<(Place, &Job)> = jobs
             .iter()
             .zip(late)
             .map(|(j, late)| {
@@ -695,19 +714,17 @@
                     0
                 };
                 let borrowed = !within.contains(&j.spec.uid);
-                ((Reverse(j.spec.urgency), borrowed, late, size), *j)
+                let urgency = Reverse(j.spec.urgency);
+                if now.saturating_duration_since(j.arrived) > AGED {
+                    return ((urgency, false, false, false, 0), *j);
+                }
+                ((urgency, true, borrowed, late, size), *j)
             })
             .collect();
         order.sort_by_key(|o| o.0);
-        let mut starved: Vec<&Job> = jobs
-            .iter()
-            .filter(|j| now.saturating_duration_since(j.last_placed) > STARVED)
-            .copied()
-            .collect();
-        starved.sort_by_key(|j| j.last_placed);
-        let first = starved
-            .into_iter()
-            .map(|j| (&j.spec.uid, Some(j.spec.shards.div_ceil(STARVED_PART))));
+        let mut starved: Vec<&Job> = jobs.iter().filter(|j| j.turn > 0).copied().collect();
+        starved.sort_by_key(|j| j.arrived);
+        let first = starved.into_iter().map(|j| (&j.spec.uid, Some(j.turn)));
         first
             .chain(order.into_iter().map(|(_, j)| (&j.spec.uid, None)))
             .collect()
@@ -901,7 +918,7 @@
         chosen: &mut Vec<(TaskId, bool)>,
     ) {
         // Of each team concerned: what it uses beside what is being stopped, and who may be.
-        let mut teams: HashMap<&TeamName, (Need, Vec<(f64, TaskId, &Job)>)> = HashMap::new();
+        let mut teams: HashMap<&TeamName, OwnWork<'_>> = HashMap::new();
         let limited: Vec<&Job> = limited
             .iter()
             .filter_map(|u| self.jobs.get(*u))
@@ -1066,9 +1083,6 @@
                 chosen = Some((slowest, members));
             }
         }
-        if starved {
-            plan.starved.push(spec.uid.clone());
-        }
         if let Some((_, members)) = chosen {
             for (index, i) in members.into_iter().enumerate() {
                 let s = &mut slots[i];
@@ -1127,3 +1141,179 @@
         );
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::core::cluster::Answer;
+    use rand::rngs::StdRng;
+    use rand::{Rng, SeedableRng};
+
+    fn need(cpus: f64) -> Need {
+        Need {
+            cpus,
+            gpus: 0.0,
+            memory: cpus * 3.5,
+        }
+    }
+
+    /// A cluster of hosts of two types, with some images and some tasks on them.
+    fn cluster(rng: &mut StdRng, now: Instant) -> Cluster {
+        let types: Vec<HostType> = [("small", 4.0, 0.2), ("large", 32.0, 1.5)]
+            .into_iter()
+            .map(|(name, cpus, hourly)| HostType {
+                name: name.into(),
+                room: need(cpus),
+                cache_gb: 20.0,
+                fetch_gb_per_s: 0.3,
+                hourly,
+                low_price: hourly / 4.0,
+                boot: Duration::from_secs(30),
+                sites: vec!["a".into()],
+            })
+            .collect();
+        let params = Params {
+            teams: vec![Team {
+                name: "red".into(),
+                cpus: None,
+                cpus_max: None,
+                gpus: None,
+                gpus_max: None,
+            }],
+            objectives: Vec::new(),
+            report: Duration::from_secs(3),
+            lease: Duration::from_secs(30),
+            gang_wait: Duration::from_secs(40),
+            gang_peer: Duration::from_secs(5),
+            cancel: Duration::from_secs(50),
+            txn_ops: 24,
+            value_bytes: 8192,
+            list_lag: Duration::from_secs(8),
+            tuning: Tuning::default(),
+        };
+        let mut c = Cluster::new(params, Term(3), 50, types, now, 0);
+        for n in 0..40 {
+            let name = if rng.gen_bool(0.5) { "small" } else { "large" };
+            let answer = c.on_report(
+                now,
+                Report {
+                    host: HostId(format!("i-{n:03}")),
+                    endpoint: String::new(),
+                    host_type: name.into(),
+                    site: "a".into(),
+                    spot: rng.gen_bool(0.5),
+                    tenure: 1,
+                    serial: 1,
+                    epoch: Epoch::first(Term(3)),
+                    eviction: None,
+                    tasks: Vec::new(),
+                },
+                true,
+            );
+            assert!(matches!(answer, Answer::Accept { .. }));
+        }
+        let ids: Vec<HostId> = c.hosts.keys().cloned().collect();
+        for id in ids {
+            let Some(h) = c.hosts.get_mut(&id) else {
+                continue;
+            };
+            for image in ["img-1", "img-2", "img-3"] {
+                if rng.gen_bool(0.3) {
+                    h.images.push_back((ImageKey::of(image), 4.0));
+                }
+            }
+            if rng.gen_bool(0.4) {
+                h.slowness.add(rng.gen_range(-0.3..0.6));
+            }
+        }
+        c
+    }
+
+    fn job(rng: &mut StdRng, n: u32) -> JobSpec {
+        JobSpec {
+            uid: Uid(format!("wk-{n:06}")),
+            class: format!("c{}", n % 3),
+            owner: "red".into(),
+            kind: JobKind::Batch,
+            urgency: Urgency::Standard,
+            shards: rng.gen_range(1..60),
+            need: need(rng.gen_range(1..17) as f64),
+            host_types: None,
+            site: None,
+            same_place: false,
+            spread: false,
+            preemptible: rng.gen_bool(0.8),
+            image: format!("img-{}", rng.gen_range(1..4)),
+            image_gb: 4.0,
+            expected: Duration::from_secs(rng.gen_range(5..90)),
+            snapshot_every: Duration::ZERO,
+            snapshot: Duration::ZERO,
+            due: None,
+            accepted_ms: 0,
+        }
+    }
+
+    /// The report's rule read plainly: each task is scored on every machine, the least sum wins.
+    #[test]
+    fn the_heap_chooses_what_scoring_every_machine_for_every_task_chooses() {
+        let (mut started, mut booked) = (0, 0);
+        for seed in 0..30 {
+            let mut rng = StdRng::seed_from_u64(seed);
+            let now = Instant::now();
+            let mut c = cluster(&mut rng, now);
+            let specs: Vec<JobSpec> = (0..8).map(|n| job(&mut rng, n)).collect();
+            for s in &specs {
+                c.on_job(s.clone(), 100);
+            }
+            let rates: Vec<f64> = c.types.iter().map(|t| t.fetch_gb_per_s).collect();
+            let (mut quick, mut plain) = (c.slots(now, &rates), c.slots(now, &rates));
+            for s in &specs {
+                let job = &c.jobs[&s.uid];
+                let ests: Vec<Duration> =
+                    c.types.iter().map(|t| c.history.est(s, &t.name)).collect();
+                let crowding = vec![false; c.types.len()];
+                let g = Group {
+                    job,
+                    ests: &ests,
+                    kept: Duration::ZERO,
+                    crowding: &crowding,
+                    rates: &rates,
+                };
+                let take = |slots: &mut [Slot<'_>], c: &Choice| {
+                    let slot = &mut slots[c.slot];
+                    if c.free_now {
+                        slot.free.sub(&s.need);
+                        slot.started(job);
+                    }
+                    slot.book(c.at, c.est + c.penalty, &s.need);
+                };
+                let mut heap = c.ranked(now, &g, &quick, &[]);
+                for _ in 0..s.shards {
+                    let best = (0..plain.len())
+                        .filter(|i| c.admits(job, &plain[*i], &[]))
+                        .filter_map(|i| c.score(now, &g, &plain, i))
+                        .min();
+                    let first = heap.pop().map(|r| r.0);
+                    assert_eq!(
+                        first.map(|f| (f.slot, f.at, f.free_now)),
+                        best.map(|b| (b.slot, b.at, b.free_now)),
+                        "seed {seed} job {}",
+                        s.uid
+                    );
+                    let (Some(first), Some(best)) = (first, best) else {
+                        break;
+                    };
+                    take(&mut quick, &first);
+                    take(&mut plain, &best);
+                    heap.extend(c.score(now, &g, &quick, first.slot).map(Reverse));
+                    if first.free_now {
+                        started += 1;
+                    } else {
+                        booked += 1;
+                    }
+                }
+            }
+        }
+        assert!(started > 1000 && booked > 1000, "{started} {booked}");
+    }
+}
--- a/src/net/agent.rs
+++ b/src/net/agent.rs
@@ -28,16 +28,12 @@
     })
 }
 
-/// Sends commands, or without any asks for the report. The worker's report as it came, whether the
-/// commands were executed or not; None: no answer.
-pub fn deliver(agent: &ureq::Agent, endpoint: &str, body: Option<&[u8]>) -> Option<Vec<u8>> {
+/// Sends commands. The worker's report as it came, whether they were executed or not; None: no
+/// answer.
+pub fn deliver(agent: &ureq::Agent, endpoint: &str, body: &[u8]) -> Option<Vec<u8>> {
     let address: SocketAddr = endpoint.parse().ok()?;
-    let (method, path) = match body {
-        Some(_) => ("POST", "commands"),
-        None => ("GET", "status"),
-    };
-    let url = format!("http://{address}/{path}");
-    let a = http::exchange(agent, method, &url, body, LIMIT).ok()?;
+    let url = format!("http://{address}/commands");
+    let a = http::exchange(agent, "POST", &url, Some(body), LIMIT).ok()?;
     matches!(a.status, 200 | 409).then_some(a.body)
 }
 
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -309,7 +309,15 @@
     if let Some(v) = shared.view.final_answer(uid) {
         return Ok(Some((v, 0)));
     }
-    let found = shared.store.verdict(uid, USER_CALL);
+    let now = std::time::Instant::now();
+    if !shared.view.store_ok(now) {
+        return Err(StoreError::Unavailable);
+    }
+    // A question that was refused for want of the store's rate goes before those that were not.
+    let found = shared
+        .store
+        .verdict(uid, shared.turns.floor(uid, now), USER_CALL);
+    shared.turns.answered(uid, found.is_ok(), now);
     store_said(shared, &found);
     if let Ok(Some((v, _))) = &found {
         if *v != Verdict::Live {
@@ -376,6 +384,9 @@
             permit: None,
         },
     ];
+    if !shared.view.store_ok(std::time::Instant::now()) {
+        return unavailable(shared);
+    }
     let limit = Duration::from_millis(2000);
     let result = shared
         .store
--- a/src/net/peer.rs
+++ b/src/net/peer.rs
@@ -33,10 +33,10 @@
     Hello(Hello),
     /// Workers' reports, as they came.
     Beats(Vec<Vec<u8>>),
-    /// Commands for a worker, in the wire's form. None: only its report is asked for.
+    /// Commands for a worker, in the wire's form.
     Command {
         endpoint: String,
-        body: Option<Vec<u8>>,
+        body: Vec<u8>,
     },
 }
 
--- a/src/net/store.rs
+++ b/src/net/store.rs
@@ -176,7 +176,7 @@
 
 /// The leader's part of all requests and of all changes. The rest is the users', node by node.
 const LEADER_REQUESTS: f64 = 0.4;
-const LEADER_CHANGES: f64 = 0.65;
+const LEADER_CHANGES: f64 = 0.55;
 /// Bursts of one second's worth are allowed; a little less allows for the clocks.
 const BURST_S: f64 = 0.9;
 
@@ -198,12 +198,18 @@
         }
     }
 
+    /// For a user's question, which leaves this part of the bucket to those that have waited longer.
+    pub fn question(&self, floor: f64, now: Instant) -> bool {
+        self.users.0.take_above(1.0, floor, now)
+    }
+
     pub fn leave(&self, rank: Rank, writes: usize, now: Instant) -> bool {
         let (requests, changes) = match rank {
             Rank::User => &self.users,
             Rank::Leader => &self.leader,
         };
-        requests.take_at(1.0, now) && (writes == 0 || changes.take_at(writes as f64, now))
+        // What is refused for its changes must not use up requests.
+        (writes == 0 || changes.take_at(writes as f64, now)) && requests.take_at(1.0, now)
     }
 }
 
@@ -239,6 +245,14 @@
         limit: Duration,
     ) -> Result<Option<Entry<T>>, StoreError> {
         self.leave(rank, 0)?;
+        self.read(key, limit)
+    }
+
+    fn read<T: DeserializeOwned>(
+        &self,
+        key: &str,
+        limit: Duration,
+    ) -> Result<Option<Entry<T>>, StoreError> {
         let a = sent(
             self.client
                 .call("GET", &format!("/store/{key}"), NONE, limit),
@@ -400,10 +414,14 @@
     pub fn verdict(
         &self,
         uid: &Uid,
+        floor: f64,
         limit: Duration,
     ) -> Result<Option<(Verdict, u64)>, StoreError> {
+        if !self.budgets.question(floor, Instant::now()) {
+            return Err(StoreError::Unavailable);
+        }
         let key = crate::core::ledger::job_key(uid);
-        let e = self.get::<StoredVerdict>(&key, Rank::User, limit)?;
+        let e = self.read::<StoredVerdict>(&key, limit)?;
         match e {
             None => Ok(None),
             Some(e) => match e.value.verdict() {
--- a/src/runtime/duties.rs
+++ b/src/runtime/duties.rs
@@ -51,7 +51,6 @@
 
 enum Order {
     Commands(Epoch, u64, Vec<Directive>),
-    Status,
 }
 
 pub enum CloudOrder {
@@ -214,8 +213,14 @@
                     c.on_sent(now, &host, None);
                 }
             }
-            Action::Probe { host, endpoint } => {
-                let what = Order::Status;
+            Action::Probe {
+                host,
+                endpoint,
+                epoch,
+                tenure,
+            } => {
+                // Without directives: it shows the term's token and answers with its report.
+                let what = Order::Commands(epoch, tenure, Vec::new());
                 let order = SendOrder {
                     term,
                     host,
@@ -519,15 +524,11 @@
 /// one that binds.
 pub fn send_commands(shared: &Shared, client: &ureq::Agent, orders: &Receiver<SendOrder>) {
     while let Ok(o) = orders.recv() {
-        let body = match &o.what {
-            Order::Commands(epoch, tenure, directives) => {
-                Some(agent::encode(*epoch, *tenure, directives))
-            }
-            Order::Status => None,
-        };
+        let Order::Commands(epoch, tenure, directives) = &o.what;
+        let body = agent::encode(*epoch, *tenure, directives);
         let answer = match helper(shared, &o.host) {
             Some(p) => through_peer(p, client, &o.endpoint, body),
-            None => agent::deliver(client, &o.endpoint, body.as_deref()),
+            None => agent::deliver(client, &o.endpoint, &body),
         };
         let report = answer.and_then(|b| agent::report(&b));
         let event = Event::Sent(o.term, o.host, report);
@@ -557,7 +558,7 @@
     peer: &Peer,
     client: &ureq::Agent,
     endpoint: &str,
-    body: Option<Vec<u8>>,
+    body: Vec<u8>,
 ) -> Option<Vec<u8>> {
     let ask = Ask::Command {
         endpoint: endpoint.to_owned(),
@@ -580,7 +581,7 @@
             // A refusal came at once, so there is time to send it ourselves.
             let refused = e.kind() == std::io::ErrorKind::ConnectionRefused;
             refused
-                .then(|| agent::deliver(client, endpoint, body.as_deref()))
+                .then(|| agent::deliver(client, endpoint, &body))
                 .flatten()
         }
     }
@@ -722,7 +723,7 @@
             }
             Ask::Beats(bodies) => Reply::Beats(shared.local_beats(&bodies)),
             Ask::Command { endpoint, body } => {
-                Reply::Command(agent::deliver(&shared.agent, &endpoint, body.as_deref()))
+                Reply::Command(agent::deliver(&shared.agent, &endpoint, &body))
             }
         };
         if peer::write_frame(&mut stream, &reply).is_err() {
--- a/src/runtime/service.rs
+++ b/src/runtime/service.rs
@@ -1,6 +1,6 @@
 //! One controller node: everything that its threads share, and how they are started and stopped.
 
-use super::budget::Bucket;
+use super::budget::{Bucket, Turns};
 use super::duties::{self, BeatReply, Event, Outlets, Relayed};
 use super::elector::{self, Sign};
 use super::metrics::Meter;
@@ -50,6 +50,7 @@
     /// For commands to workers.
     pub agent: ureq::Agent,
     pub workers: Workers,
+    pub turns: Turns,
     relays: Sender<Relayed>,
 }
 
@@ -127,9 +128,8 @@
         };
         if self.relays.try_send(relayed).is_ok() {
             let limit = Duration::from_millis(3500);
-            match answer.recv_timeout(limit) {
-                Ok(Some(a)) => return a,
-                Ok(None) | Err(_) => {}
+            if let Ok(Some(a)) = answer.recv_timeout(limit) {
+                return a;
             }
         }
         if let Some(ip) = from {
@@ -202,6 +202,7 @@
             wake,
             agent: agent::client(sockets / 4),
             workers: Workers::new(settings_report),
+            turns: Turns::default(),
             relays,
         });
         let mut threads = Vec::new();
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -143,7 +143,7 @@
         }
     }
 
-    /// A report at the current token, as a beat.
+    /// A report at the current token, as a beat: answers have reached the worker.
     pub fn beat(
         &mut self,
         host: &str,
@@ -154,7 +154,7 @@
             .c
             .hosts
             .get(&HostId::from(host))
-            .map_or(0, |h| h.epoch.0);
+            .map_or(Epoch::first(self.c.term).0, |h| h.epoch.0);
         let r = World::report(host, 1, serial, epoch, tasks);
         match self.c.on_report(self.now, r, true) {
             Answer::Accept { epoch, directives } => (epoch, directives),
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -100,7 +100,7 @@
     {
         let mut w = World::new();
         w.beat("i-1", 1, vec![]);
-        let mut r = World::report("i-2", 1, 1, 0, vec![]);
+        let mut r = World::report("i-2", 1, 1, Epoch::first(TERM).0, vec![]);
         r.spot = true;
         r.site = "b".into();
         w.c.on_report(w.now, r, true);
@@ -339,7 +339,7 @@
     let mut unlimited = params();
     unlimited.teams[0].cpus_max = None;
     let mut w = World::with(unlimited, vec![small, large]);
-    let mut r = World::report("i-1", 1, 1, 0, vec![]);
+    let mut r = World::report("i-1", 1, 1, Epoch::first(TERM).0, vec![]);
     r.host_type = "m64".into();
     w.c.on_report(w.now, r, true);
     w.job(spec("wk-000001", 3, 24.0));
@@ -564,7 +564,7 @@
     let taken = |b: &Budgets, rank, writes| (0..100).filter(|_| b.leave(rank, writes, now)).count();
     let b = Budgets::new(100.0, 40.0, 2, now);
     let users = taken(&b, Rank::User, 2);
-    assert_eq!(users, 3, "of 7 changes a second, a second's burst");
+    assert_eq!(users, 4, "of 9 changes a second, a second's burst");
     // What users have used up leaves the leader its part, and the reverse.
     let leader = taken(&b, Rank::Leader, 2);
     assert!(leader > 2 * users, "{leader}");
--- a/tests/evidence.rs
+++ b/tests/evidence.rs
@@ -117,11 +117,10 @@
 fn a_task_stays_with_a_silent_host_until_its_lease_has_certainly_run_out() {
     for (fenced, gone) in [(true, true), (false, false)] {
         let (mut w, _) = launched();
-        if fenced {
-            // Shows this term's token: from here on only we renew its lease.
-            w.beat("i-1", 5, vec![]);
-        }
+        w.beat("i-1", 5, vec![]);
+        // Fenced: it has shown this term's token, and from then on only we renew its lease.
         for h in w.c.hosts.values_mut() {
+            h.fenced = fenced;
             h.returning = true;
         }
         w.pass(secs(30));
@@ -144,6 +143,10 @@
     let epoch = w.c.hosts[&host].epoch.0;
     let fresh = World::report("i-1", 2, 1, epoch, vec![]);
     w.c.on_sent(w.now, &host, Some(fresh));
+    assert_eq!(launches(&w.settle()), vec![], "does anything reach it?");
+    let epoch = w.c.hosts[&host].epoch.0;
+    let shows = World::report("i-1", 2, 2, epoch, vec![]);
+    w.c.on_sent(w.now, &host, Some(shows));
     let sent = launches(&w.settle());
     assert_eq!(sent.len(), 1, "the old session's task starts anew");
     let (_, task, attempt) = sent[0].clone();
--- /dev/null
+++ b/tests/troubles.rs
@@ -0,0 +1,473 @@
+//! The added rules: nobody starves, and what a machine or a copy of a report must not bring about.
+
+mod common;
+
+use common::*;
+use cypressgap::core::cluster::{Action, Answer};
+use cypressgap::core::ledger::{BatchOutcome, ChunkValue};
+use cypressgap::core::model::*;
+use cypressgap::runtime::budget::{Bucket, Turns};
+use cypressgap::runtime::workers::Workers;
+use std::collections::{BTreeMap, HashMap};
+use std::net::{IpAddr, Ipv4Addr};
+use std::time::{Duration, Instant};
+
+fn host() -> HostId {
+    "i-1".into()
+}
+
+fn returned(actions: &[Action]) -> bool {
+    actions
+        .iter()
+        .any(|a| matches!(a, Action::Return { hosts } if hosts.contains(&host())))
+}
+
+/// Reports that arrive at their interval while no answer or command reaches the worker.
+fn deaf_for(w: &mut World, seconds: u64, tenure: u64, serial: u64, epoch: u64) -> Vec<Action> {
+    let mut out = Vec::new();
+    for n in 0..seconds / 2 {
+        let r = World::report("i-1", tenure, serial + n, epoch, vec![]);
+        w.c.on_report(w.now, r, true);
+        // The others are well: the fault is not on our side.
+        for h in ["i-8", "i-9"] {
+            w.beat(h, 100 + w.revision * 50 + n, vec![]);
+        }
+        out.extend(w.settle());
+    }
+    w.revision += 1;
+    out
+}
+
+/// A deployment with one free machine, which takes the first task, and two that are taken.
+fn one_free() -> World {
+    let mut p = params();
+    p.tuning.idle_ordinary = secs(1000);
+    let mut w = World::with(p, vec![host_type("m8", 8.0)]);
+    for (n, h) in ["i-8", "i-9"].iter().enumerate() {
+        w.beat(h, 1, vec![]);
+        w.job(spec(&format!("wk-00090{n}"), 1, 8.0));
+    }
+    let sent = launches(&w.settle());
+    assert_eq!(sent.len(), 2);
+    w.beat("i-1", 1, vec![]);
+    w
+}
+
+#[test]
+fn a_machine_that_nothing_reaches_gets_nothing_more_and_is_given_up() {
+    let mut w = one_free();
+    let epoch = w.c.hosts[&host()].epoch.0;
+    w.job(spec("wk-000001", 1, 4.0));
+    let sent = launches(&w.settle());
+    assert_eq!(sent[0].0, host());
+    // Its reports go on without the task, with the token of before.
+    let first = deaf_for(&mut w, 6, 1, 10, epoch);
+    w.job(spec("wk-000002", 1, 4.0));
+    let more = deaf_for(&mut w, 4, 1, 20, epoch);
+    assert!(!launches(&more)
+        .iter()
+        .any(|l| l.1.uid == "wk-000002".into()));
+    assert_eq!(w.active("wk-000001", 0).unwrap().0, host(), "no proof yet");
+    let mut all = first;
+    all.extend(more);
+    all.extend(deaf_for(&mut w, 24, 1, 40, epoch));
+    assert!(returned(&all), "given up well before two leases");
+    assert_eq!(
+        w.active("wk-000001", 0).unwrap().0,
+        host(),
+        "still no proof"
+    );
+    w.c.on_returned(w.now, &[host()]);
+    assert_eq!(w.active("wk-000001", 0), None);
+}
+
+#[test]
+fn a_deaf_machines_new_session_frees_its_tasks_but_brings_it_no_new_ones() {
+    // Whether the new session shows the token that was raised for it -> whether it gets work.
+    for hears in [false, true] {
+        let mut w = one_free();
+        w.job(spec("wk-000001", 1, 4.0));
+        let (_, _, old) = launches(&w.settle())[0].clone();
+        let epoch = w.c.hosts[&host()].epoch.0;
+        let fresh = World::report("i-1", 2, 1, epoch, vec![]);
+        w.c.on_report(w.now, fresh, true);
+        let moved = w.active("wk-000001", 0).is_none_or(|a| a.1 != old);
+        assert!(moved, "the later session proves the task gone");
+        assert_eq!(launches(&w.settle()), vec![]);
+        let shown = if hears {
+            w.c.hosts[&host()].epoch.0
+        } else {
+            epoch
+        };
+        w.c.on_report(w.now, World::report("i-1", 2, 2, shown, vec![]), true);
+        assert_eq!(launches(&w.settle()).len(), usize::from(hears));
+    }
+}
+
+#[test]
+fn what_a_late_copy_does_not_bring_about() {
+    // The copy's tenure, serial, and whether it lists the task.
+    let cases = [
+        ("the last report again", 1, 5, true),
+        ("one from before the launch", 1, 1, false),
+        ("an early one of the session", 1, 2, false),
+    ];
+    for (name, tenure, serial, listed) in cases {
+        let mut w = World::new();
+        w.beat("i-1", 1, vec![]);
+        w.job(spec("wk-000001", 1, 4.0));
+        let a = launches(&w.settle())[0].2;
+        let tasks = || vec![shown("wk-000001", 0, a, TaskPhase::Running)];
+        w.beat("i-1", 5, tasks());
+        let (answered, epoch) = {
+            let h = &w.c.hosts[&host()];
+            (h.last_answer, h.epoch)
+        };
+        // From seconds to well over a lease later.
+        for late in [2, 10, 20] {
+            w.pass(secs(late));
+            let old = if listed { tasks() } else { vec![] };
+            let copy = World::report("i-1", tenure, serial, epoch.0, old);
+            let answer = w.c.on_report(w.now, copy, true);
+            let none = matches!(answer, Answer::Accept { directives, .. } if directives.is_empty());
+            assert!(none, "{name}: nothing is ordered on its word");
+            let h = &w.c.hosts[&host()];
+            assert_eq!(h.last_answer, answered, "{name}: renews no lease");
+            assert_eq!((h.tenure, h.serial), (1, 5), "{name}");
+            assert_eq!(w.active("wk-000001", 0), Some((host(), a)), "{name}");
+        }
+        // The lease runs out as if no copy had come.
+        w.pass(Duration::from_millis(31_100) - secs(32).min(secs(31)));
+        w.c.tick(w.now);
+        assert_eq!(w.active("wk-000001", 0), None, "{name}");
+    }
+}
+
+#[test]
+fn a_copy_sent_before_the_term_began_opens_no_host_and_moves_no_task() {
+    // The copy lists the loaded task or does not: neither is believed.
+    for listed in [false, true] {
+        let mut w = World::new();
+        w.job(spec("wk-000001", 1, 4.0));
+        w.job(spec("wk-000002", 1, 4.0));
+        let a = Attempt(7);
+        let value = ChunkValue {
+            done: 0,
+            active: vec![(0, a, host())],
+        };
+        w.c.load_chunk(w.now, &"wk-000001".into(), 0, value, 90);
+        let tasks = if listed {
+            vec![shown("wk-000001", 0, a, TaskPhase::Running)]
+        } else {
+            vec![]
+        };
+        let before = Epoch::first(Term(TERM.0 - 1)).0;
+        let copy = World::report("i-1", 1, 40, before, tasks);
+        w.c.on_report(w.now, copy, true);
+        // A machine that was returned in an earlier term seems to report too.
+        w.c.on_report(w.now, World::report("i-3", 1, 9, before, vec![]), true);
+        assert_eq!(
+            launches(&w.settle())
+                .iter()
+                .filter(|l| l.1.uid == "wk-000002".into())
+                .count(),
+            0
+        );
+        if !listed {
+            w.pass(secs(40));
+            w.c.tick(w.now);
+            let still = w.active("wk-000001", 0);
+            assert_eq!(still, Some((host(), a)), "no lease of ours ran out");
+            continue;
+        }
+        // Once it shows this term's token it is a machine like any other.
+        let h = &w.c.hosts[&host()];
+        let live = World::report(
+            "i-1",
+            1,
+            41,
+            h.epoch.0,
+            vec![shown("wk-000001", 0, a, TaskPhase::Running)],
+        );
+        w.c.on_report(w.now, live, true);
+        let sent = launches(&w.settle());
+        assert!(sent
+            .iter()
+            .any(|l| l.1.uid == "wk-000002".into() && l.0 == host()));
+    }
+}
+
+#[test]
+fn a_copy_brings_no_returned_machine_back() {
+    let mut w = World::new();
+    w.beat("i-1", 1, vec![]);
+    w.c.on_returned(w.now, &[host()]);
+    for late in [1, 30, 300] {
+        w.pass(secs(late));
+        let copy = World::report("i-1", 1, 900 + late, Epoch::first(TERM).0, vec![]);
+        assert_eq!(w.c.on_report(w.now, copy, true), Answer::Ignore);
+        assert!(w.c.hosts.is_empty());
+    }
+}
+
+#[test]
+fn a_machine_restarted_under_its_name_is_heard_again_and_its_predecessor_is_not() {
+    let mut w = World::new();
+    w.beat("i-1", 1, vec![]);
+    w.job(spec("wk-000001", 1, 4.0));
+    let a = launches(&w.settle())[0].2;
+    w.beat(
+        "i-1",
+        90,
+        vec![shown("wk-000001", 0, a, TaskPhase::Running)],
+    );
+    let old = w.c.hosts[&host()].epoch.0;
+    // Its life's reports count from the beginning; at first they look like copies.
+    w.pass(secs(9));
+    let Answer::Accept { epoch, .. } =
+        w.c.on_report(w.now, World::report("i-1", 1, 1, 0, vec![]), true)
+    else {
+        panic!("refused");
+    };
+    assert!(epoch.0 > old, "a token that no copy can show");
+    assert!(w.active("wk-000001", 0).is_some());
+    w.pass(secs(1));
+    w.c.on_report(w.now, World::report("i-1", 1, 2, epoch.0, vec![]), true);
+    assert_eq!(w.c.hosts[&host()].serial, 2, "heard again");
+    let now_on = w.active("wk-000001", 0);
+    assert!(now_on.is_none_or(|n| n.1 != a), "its old task is gone");
+    // A copy of the predecessor's counts higher and yet says nothing.
+    let copy = World::report(
+        "i-1",
+        1,
+        95,
+        old,
+        vec![shown("wk-000001", 0, a, TaskPhase::Running)],
+    );
+    w.c.on_report(w.now, copy, true);
+    assert_eq!(w.c.hosts[&host()].serial, 2);
+}
+
+/// Machines that run what they are sent for the job's expected time, on a simulated clock.
+struct Fleet {
+    w: World,
+    serial: u64,
+    on: BTreeMap<HostId, Vec<(TaskId, Attempt, Instant)>>,
+    begun: HashMap<Uid, Instant>,
+    done: HashMap<Uid, u32>,
+}
+
+impl Fleet {
+    fn new(p: Params, hosts: usize, cpus: f64) -> Fleet {
+        let mut w = World::with(p, vec![host_type("m8", cpus)]);
+        w.c.params.tuning.max_hosts = hosts;
+        w.c.params.tuning.idle_ordinary = secs(100_000);
+        let on = (0..hosts).map(|n| (HostId(format!("i-{n:02}")), vec![]));
+        Fleet {
+            w,
+            serial: 0,
+            on: on.collect(),
+            begun: HashMap::new(),
+            done: HashMap::new(),
+        }
+    }
+
+    /// One second: all report, finished tasks end, what is launched starts.
+    fn second(&mut self, runs: impl Fn(&Uid) -> Duration) {
+        self.serial += 1;
+        let now = self.w.now;
+        for (h, tasks) in &mut self.on {
+            let listed = tasks
+                .iter()
+                .map(|(t, a, since)| {
+                    let over = now - *since >= runs(&t.uid);
+                    let phase = if over {
+                        TaskPhase::Ended(Exit::Done)
+                    } else {
+                        TaskPhase::Running
+                    };
+                    shown(&t.uid.0, t.index, *a, phase)
+                })
+                .collect();
+            let (_, directives) = self.w.beat(&h.0, self.serial, listed);
+            for d in directives {
+                match d {
+                    Directive::Launch { task, attempt } => {
+                        self.begun.entry(task.uid.clone()).or_insert(now);
+                        tasks.push((task, attempt, now));
+                    }
+                    Directive::Kill { task, attempt, .. } => {
+                        tasks.retain(|t| (&t.0, t.1) != (&task, attempt))
+                    }
+                    Directive::Forget { task, attempt } => {
+                        *self.done.entry(task.uid.clone()).or_default() += 1;
+                        tasks.retain(|t| (&t.0, t.1) != (&task, attempt));
+                    }
+                }
+            }
+        }
+        let until = now + secs(1);
+        while self.w.now < until {
+            self.w.now += Duration::from_millis(100);
+            for a in self.w.c.tick(self.w.now) {
+                match a {
+                    Action::Store(_) => {
+                        self.w.revision += 1;
+                        let revision = self.w.revision;
+                        let now = self.w.now;
+                        self.w.c.on_batch(now, BatchOutcome::Applied { revision });
+                    }
+                    // Commands come with the reports' answers, a second later at most.
+                    Action::Send { host, .. } => {
+                        self.w.c.on_sent(self.w.now, &host, None);
+                    }
+                    _ => {}
+                }
+            }
+        }
+    }
+}
+
+#[test]
+fn the_largest_jobs_begin_and_end_while_smaller_or_more_urgent_work_never_ceases() {
+    type Edit = fn(&mut JobSpec);
+    // What the endless small jobs are, what the large one is.
+    let cases: [(&str, Edit, Edit); 4] = [
+        ("more urgent", |s| s.urgency = Urgency::High, |_| {}),
+        (
+            "punctual, while the large one is late",
+            |s| s.due = Some(secs(100_000)),
+            |s| s.due = Some(secs(1)),
+        ),
+        (
+            "within their team's guarantee",
+            |s| s.owner = "blue".into(),
+            |s| s.owner = "grey".into(),
+        ),
+        (
+            "more urgent, the large one's tasks fill a machine",
+            |s| s.urgency = Urgency::High,
+            |s| {
+                s.shards = 16;
+                s.need = need(8.0);
+            },
+        ),
+    ];
+    for (name, small, large) in cases {
+        let mut p = params();
+        for t in &mut p.teams {
+            t.cpus_max = None;
+        }
+        let mut f = Fleet::new(p, 8, 8.0);
+        let mut s = spec("wk-900000", 60, 4.0);
+        s.expected = secs(20);
+        s.class = "large".into();
+        large(&mut s);
+        let tasks = s.shards;
+        let start = f.w.now;
+        for second in 0..600u32 {
+            // Always twice of what the machines can take.
+            for n in 0..2 {
+                let mut s = spec(&format!("wk-{:06}", second * 2 + n), 2, 2.0);
+                s.expected = secs(8);
+                s.class = "small".into();
+                s.accepted_ms = u64::from(second) * 1000;
+                small(&mut s);
+                f.w.job(s);
+            }
+            if second == 10 {
+                s.accepted_ms = 10_000;
+                f.w.job(s.clone());
+            }
+            f.second(|u| {
+                if u.0 == "wk-900000" {
+                    secs(20)
+                } else {
+                    secs(8)
+                }
+            });
+        }
+        let uid = Uid::from("wk-900000");
+        let begun = f.begun.get(&uid).map(|t| t.duration_since(start));
+        assert!(
+            begun.is_some_and(|t| t < secs(240 + 10)),
+            "{name}: begun after {begun:?}"
+        );
+        let done = f.done.get(&uid).copied().unwrap_or(0);
+        assert!(done * 2 >= tasks, "{name}: {done} of {tasks} done");
+        let smalls: u32 = f.done.iter().filter(|d| d.0 != &uid).map(|d| d.1).sum();
+        assert!(smalls > 400, "{name}: the others go on too: {smalls}");
+    }
+}
+
+#[test]
+fn no_jobs_questions_lose_for_good_when_the_rate_is_short() {
+    // Five times more questions than the rate admits: each job is asked about every 5 s.
+    let start = Instant::now();
+    let bucket = Bucket::new(20.0, 0.9, start);
+    let turns = Turns::default();
+    let jobs: Vec<Uid> = (0..500).map(|n| Uid(format!("wk-{n:06}"))).collect();
+    let mut last: Vec<Instant> = vec![start; jobs.len()];
+    let mut longest = Duration::ZERO;
+    for step in 0..40_000u64 {
+        let now = start + Duration::from_millis(step * 10);
+        // In the same order each time, so that chance favours the same ones.
+        for (n, uid) in jobs.iter().enumerate() {
+            if step % 500 != n as u64 {
+                continue;
+            }
+            let ok = bucket.take_above(1.0, turns.floor(uid, now), now);
+            turns.answered(uid, ok, now);
+            if ok {
+                last[n] = now;
+            }
+            longest = longest.max(now - last[n]);
+        }
+    }
+    assert!(longest < secs(75), "{longest:?}");
+}
+
+#[test]
+fn workers_are_spread_and_not_sent_to_and_fro() {
+    let start = Instant::now();
+    let ip = |n: u8| IpAddr::V4(Ipv4Addr::new(10, 1, 0, n));
+    // Own workers, own leader (None: this node leads), peers' counts -> where one more goes.
+    let cases: [(&str, u8, Option<&str>, [u32; 2], Option<&str>); 5] = [
+        ("the leader keeps a small part", 90, None, [0, 5], Some("b")),
+        (
+            "a follower with far too many",
+            90,
+            Some("b"),
+            [4, 0],
+            Some("c"),
+        ),
+        ("in balance", 40, Some("b"), [10, 40], None),
+        ("a leader in balance", 12, None, [40, 40], None),
+        ("few in all", 6, Some("b"), [0, 0], None),
+    ];
+    for (name, here, leader, there, expected) in cases {
+        let w = Workers::new(secs(3));
+        for n in 0..here {
+            w.saw(ip(n), start);
+        }
+        let peers = [("b".to_owned(), there[0]), ("c".to_owned(), there[1])];
+        let to = w.elsewhere(ip(0), ("a", leader), &peers, start);
+        assert_eq!(to.as_deref(), expected, "{name}");
+        // Back at once: it could not reach the other. Another one goes in its place.
+        let soon = start + secs(1);
+        w.saw(ip(0), soon);
+        assert_eq!(
+            w.elsewhere(ip(0), ("a", leader), &peers, soon),
+            None,
+            "{name}"
+        );
+        assert_eq!(
+            w.elsewhere(ip(1), ("a", leader), &peers, soon).is_some(),
+            to.is_some()
+        );
+    }
+    let w = Workers::new(secs(3));
+    w.saw(ip(1), start);
+    assert_eq!(w.elsewhere(ip(1), ("a", None), &[], start), None, "no peer");
+    assert_eq!(w.count(start + secs(60)), 0, "gone since");
+}
