End-to-end tests of a cut-off leader and of a node back at once; hosts are asked in small lots

Cause: at takeover only 64 of some 600 listed hosts were asked for their reports; the rest were lost to a full channel and came by their own reports, up to 10 s later. The history's summary counts all its tables against the value's limit.

--- a/src/core/capacity.rs
+++ b/src/core/capacity.rs
@@ -50,6 +50,9 @@
 const MOVE_RAN: Duration = Duration::from_secs(31);
 const MOVE_REST: Duration = Duration::from_secs(20);
 
+/// Hosts asked for their reports in one tick.
+const PROBES: usize = 24;
+
 type Offer = (TypeName, Site, bool);
 
 #[derive(Clone, Debug)]
@@ -839,13 +842,7 @@
             let probe = !h.reported && !h.probed && !l.endpoint.is_empty();
             if probe && l.phase == ListedPhase::Running {
                 h.probed = true;
-                // Nearly all are in their first session; another one answers with its report too.
-                self.actions.push(Action::Probe {
-                    host: l.id.clone(),
-                    endpoint: l.endpoint.clone(),
-                    epoch: h.epoch,
-                    tenure: 1,
-                });
+                self.probes.push_back((l.id.clone(), l.endpoint.clone()));
             }
             if l.phase == ListedPhase::Failed && !h.returning {
                 log::info!("host failed host={}", l.id);
@@ -854,6 +851,29 @@
         }
     }
 
+    /// Asks listed hosts that have not reported for their reports, a few at a time: more than the
+    /// senders take would be lost.
+    pub(super) fn probe(&mut self) {
+        let mut most = PROBES;
+        while most > 0 {
+            let Some((id, endpoint)) = self.probes.pop_front() else {
+                return;
+            };
+            let Some(h) = self.hosts.get(&id).filter(|h| !h.fenced && !h.returning) else {
+                continue;
+            };
+            most -= 1;
+            // Nearly all are in their first session; one in another answers with its report too.
+            let tenure = if h.reported { h.tenure } else { 1 };
+            self.actions.push(Action::Probe {
+                host: id,
+                endpoint,
+                epoch: h.epoch,
+                tenure,
+            });
+        }
+    }
+
     // --- returning ---
 
     fn return_hosts(&mut self, now: Instant) {
--- a/src/core/cluster.rs
+++ b/src/core/cluster.rs
@@ -429,6 +429,8 @@
     round_pace: Duration,
     last_capacity: Option<Instant>,
     last_sweep: Option<Instant>,
+    /// Listed hosts to be asked for their reports, with their endpoints.
+    pub(super) probes: VecDeque<(HostId, String)>,
     /// Starts of this term with their waits, for the log's summary.
     pub waits: Vec<Duration>,
 }
@@ -475,6 +477,7 @@
             round_pace: ROUND_LEAST,
             last_capacity: None,
             last_sweep: None,
+            probes: VecDeque::new(),
             waits: Vec::new(),
         }
     }
@@ -1506,6 +1509,7 @@
                 self.manage_capacity(now, &round);
             }
         }
+        self.probe();
         self.send_urgent(now);
         if let Some(b) = self.next_batch(now) {
             self.actions.push(Action::Store(b));
--- a/src/core/history.rs
+++ b/src/core/history.rs
@@ -122,17 +122,21 @@
         if !std::mem::take(&mut self.dirty) {
             return None;
         }
-        let cut = |m: &HashMap<u64, Average>| {
+        let mut left = most;
+        let mut cut = |m: &HashMap<u64, Average>| {
             let mut v: Vec<(u64, f64, u32)> =
                 m.iter().map(|(k, a)| (*k, a.mean, a.count)).collect();
             v.sort_by(|a, b| b.2.cmp(&a.2).then(a.0.cmp(&b.0)));
-            v.truncate(most);
+            v.truncate(left);
+            left -= v.len();
             v
         };
+        // Together within the limit, however many kinds there are; what is few and general first.
+        let (fetch, bias) = (cut(&self.fetch), cut(&self.bias));
         Some(Summary {
             runs: cut(&self.runs),
-            bias: cut(&self.bias),
-            fetch: cut(&self.fetch),
+            bias,
+            fetch,
         })
     }
 
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -554,6 +554,16 @@
     let mut next = History::default();
     next.load(&summary);
     assert_eq!(next.est(&s, &t), secs(30));
+    // However many kinds were seen, the summary stays within its limit.
+    for n in 0..500 {
+        let mut kind = s.clone();
+        kind.class = format!("class-{n}");
+        h.ran(&kind, &TypeName(format!("type-{n}")), secs(30));
+        h.fetched(&TypeName(format!("type-{n}")), 1.0, 4.0, secs(8));
+    }
+    let kept = h.summary(60).expect("something is new");
+    assert_eq!(kept.runs.len() + kept.bias.len() + kept.fetch.len(), 60);
+    let mut h = next;
     h.fetched(&t, 1.0, 4.0, secs(8));
     assert_eq!(h.fetch_time(&t, 1.0, 2.0), secs(4));
 }
--- a/tests/end_to_end.rs
+++ b/tests/end_to_end.rs
@@ -4,6 +4,7 @@
 
 mod standins;
 
+use cypressgap::core::model::Term;
 use cypressgap::runtime::service::Service;
 use cypressgap::runtime::view::RoleView;
 use cypressgap::settings::Settings;
@@ -27,18 +28,36 @@
 struct Site {
     state: StateService,
     cloud: SocketAddr,
+    listed: Listed,
     names: Vec<(String, SocketAddr)>,
     peers: Vec<SocketAddr>,
+    /// Each node's way to the state service, and the others' way to it.
+    to_state: Vec<Link>,
+    to_peer: Vec<Link>,
 }
 
 impl Site {
     fn new(nodes: usize) -> Site {
         let name = |n: usize| (format!("worker-{n}"), free_port());
+        let state = StateService::start();
+        let listed = Listed::default();
+        let peers: Vec<SocketAddr> = (0..nodes).map(|_| free_port()).collect();
         Site {
-            state: StateService::start(),
-            cloud: start_cloud(),
+            cloud: start_cloud(listed.clone()),
+            listed,
             names: (0..nodes).map(name).collect(),
-            peers: (0..nodes).map(|_| free_port()).collect(),
+            to_state: (0..nodes).map(|_| Link::to(state.address)).collect(),
+            to_peer: peers.iter().map(|p| Link::to(*p)).collect(),
+            peers,
+            state,
+        }
+    }
+
+    /// Cuts a node off the state service and, both ways, the other controllers of two.
+    fn cut(&self, n: usize) {
+        self.to_state[n].cut(true);
+        for l in &self.to_peer {
+            l.cut(true);
         }
     }
 
@@ -48,14 +67,14 @@
         s.member = self.names[n].0.clone();
         s.front = self.names[n].1;
         s.peer_bind = self.peers[n];
-        s.state = self.state.address;
+        s.state = self.to_state[n].address;
         s.cloud = self.cloud;
         s.params.report = Duration::from_millis(300);
         let mut seed = s.seeds[0].clone();
         s.seeds.clear();
         for m in (0..self.names.len()).filter(|m| *m != n) {
             seed.member = self.names[m].0.clone();
-            seed.address = self.peers[m];
+            seed.address = self.to_peer[m].address;
             s.seeds.push(seed.clone());
         }
         Service::start(s).expect("a node starts")
@@ -145,17 +164,14 @@
     let worker = Worker::start("i-1", Duration::from_secs(6), site.names.clone());
     submit(site.names[0].1, "wk-000002", 2);
     until("started", || (worker.running() == 2).then_some(()));
-    let leads = |s: &Option<Service>| {
-        let role = s.as_ref().map(|s| s.shared.view.read().role.clone());
-        matches!(role, Some(RoleView::Leader(_)))
-    };
-    let leader = nodes.iter().position(leads).expect("one leads");
+    let leading = |s: &Option<Service>| s.as_ref().and_then(leads).is_some();
+    let leader = nodes.iter().position(leading).expect("one leads");
     if let Some(n) = nodes[leader].take() {
         n.stop();
     }
     let other = site.names[1 - leader].1;
     until("the other leads", || {
-        leads(&nodes[1 - leader]).then_some(())
+        leading(&nodes[1 - leader]).then_some(())
     });
     until("done", || {
         (phase(other, "wk-000002")? == "done").then_some(())
@@ -164,6 +180,87 @@
     assert_eq!(worker.starts().len(), 2);
 }
 
+fn leads(s: &Service) -> Option<Term> {
+    match s.shared.view.read().role {
+        RoleView::Leader(t) => Some(t),
+        RoleView::Follower(_) => None,
+    }
+}
+
+#[test]
+fn a_leader_cut_from_store_and_peers_starts_nothing_and_lets_its_workers_go() {
+    let site = Site::new(2);
+    let nodes = [site.start(0), site.start(1)];
+    let worker = Worker::start("i-1", Duration::from_secs(600), site.names.clone());
+    let listed = ("i-1".to_owned(), worker.endpoint());
+    site.listed.lock().expect("the list").push(listed);
+    submit(site.names[0].1, "wk-000005", 2);
+    until("started", || (worker.running() == 2).then_some(()));
+    let old = nodes.iter().position(|n| leads(n).is_some());
+    let old = old.expect("one leads");
+    let term = leads(&nodes[old]).expect("its term");
+    let (cut_off, other) = (site.names[old].1, site.names[1 - old].1);
+    site.cut(old);
+    // Its users are told to come back, for what is new and for what is known.
+    let body = submission("wk-000006", 1);
+    until("refused", || {
+        let new = call("POST", cut_off, "/api/jobs", Some(&body)).0;
+        let known = call("GET", cut_off, "/api/jobs/wk-000005", None).0;
+        (new == 503 && known == 503).then_some(())
+    });
+    until("the other leads", || {
+        leads(&nodes[1 - old]).filter(|t| *t > term)
+    });
+    // The new leader's token reaches the worker, whose next report ends the old leadership.
+    until("the old leader gives up", || {
+        leads(&nodes[old]).is_none().then_some(())
+    });
+    submit(other, "wk-000006", 1);
+    until("the others serve on", || {
+        (worker.running() == 3).then_some(())
+    });
+    assert_eq!(worker.starts().len(), 3, "none was started twice");
+    // A follower that can neither relay nor ask sends workers on.
+    let report = map([("Host", t("i-2"))]);
+    let (status, _) = call("POST", cut_off, "/agent/beat", Some(&report));
+    assert!(matches!(status, 421 | 503), "{status}");
+    for n in nodes {
+        n.stop();
+    }
+}
+
+#[test]
+fn a_node_back_at_once_takes_nothing_of_its_earlier_life_for_its_own() {
+    let mut site = Site::new(1);
+    let early = site.start(0);
+    let worker = Worker::start("i-1", Duration::from_secs(600), site.names.clone());
+    submit(site.names[0].1, "wk-000007", 2);
+    until("started", || (worker.running() == 2).then_some(()));
+    let term = until("it leads", || leads(&early));
+    // The early life hangs, cut off: its lease is still good, and it believes that it leads.
+    let hanging = site.to_state[0].clone();
+    hanging.cut(true);
+    site.to_state[0] = Link::to(site.state.address);
+    site.names[0].1 = free_port();
+    site.peers[0] = free_port();
+    let late = site.start(0);
+    let next = until("the next life leads", || leads(&late));
+    assert!(next > term, "a term of its own");
+    // What the early life still had to write fails on the stamp, and it notices.
+    hanging.cut(false);
+    until("the early life gives up", || {
+        leads(&early).is_none().then_some(())
+    });
+    assert_eq!(leads(&late), Some(next));
+    let address = site.names[0].1;
+    until("known to the next life", || {
+        phase(address, "wk-000007").filter(|p| p == "queued" || p == "running")
+    });
+    assert_eq!(worker.starts().len(), 2, "none was started twice");
+    late.stop();
+    early.stop();
+}
+
 #[test]
 fn a_withdrawn_job_stops_and_stays_withdrawn() {
     let site = Site::new(1);
--- a/tests/standins/mod.rs
+++ b/tests/standins/mod.rs
@@ -4,7 +4,7 @@
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::io::Read;
-use std::net::{SocketAddr, TcpListener};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant};
@@ -280,9 +280,64 @@
     }
 }
 
-/// The cloud: one machine type, and no machines beyond the worker that the test starts itself.
-pub fn start_cloud() -> SocketAddr {
-    serve(|method, url, _| match (method, url) {
+/// Machines that the cloud lists as running: name and endpoint.
+pub type Listed = Arc<Mutex<Vec<(String, String)>>>;
+
+/// A network path to one address that can be cut: what is open then ends, what is new is refused.
+#[derive(Clone)]
+pub struct Link {
+    pub address: SocketAddr,
+    cut: Arc<AtomicBool>,
+    open: Arc<Mutex<Vec<TcpStream>>>,
+}
+
+impl Link {
+    pub fn to(target: SocketAddr) -> Link {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a link listens");
+        let link = Link {
+            address: listener.local_addr().expect("its address"),
+            cut: Arc::default(),
+            open: Arc::default(),
+        };
+        let l = link.clone();
+        std::thread::spawn(move || {
+            for from in listener.incoming().flatten() {
+                if l.cut.load(Ordering::SeqCst) {
+                    continue;
+                }
+                let Ok(to) = TcpStream::connect(target) else {
+                    continue;
+                };
+                for (a, b) in [(&from, &to), (&to, &from)] {
+                    let (Ok(mut a), Ok(mut b), Ok(kept)) =
+                        (a.try_clone(), b.try_clone(), a.try_clone())
+                    else {
+                        continue;
+                    };
+                    l.open.lock().expect("the link").push(kept);
+                    std::thread::spawn(move || {
+                        let _ = std::io::copy(&mut a, &mut b);
+                        let _ = b.shutdown(Shutdown::Both);
+                    });
+                }
+            }
+        });
+        link
+    }
+
+    pub fn cut(&self, cut: bool) {
+        self.cut.store(cut, Ordering::SeqCst);
+        if cut {
+            for s in self.open.lock().expect("the link").drain(..) {
+                let _ = s.shutdown(Shutdown::Both);
+            }
+        }
+    }
+}
+
+/// The cloud: one machine type, and the machines that the test starts itself and lists.
+pub fn start_cloud(listed: Listed) -> SocketAddr {
+    serve(move |method, url, _| match (method, url) {
         (Method::Get, "/machine_types") => {
             let kind = map([
                 ("Name", t("m8")),
@@ -299,8 +354,20 @@
             (200, map([("HostTypes", Any::List(vec![kind]))]))
         }
         (Method::Get, _) => {
-            let none = Any::List(Vec::new());
-            (200, map([("Hosts", none), ("HasNext", Any::Bool(false))]))
+            let hosts = listed.lock().expect("the list");
+            let hosts = hosts.iter().map(|(name, endpoint)| {
+                map([
+                    ("Uid", t(name)),
+                    ("Endpoint", t(endpoint)),
+                    ("HostType", t("m8")),
+                    ("Site", t("hall-a")),
+                    ("Preemptible", Any::Bool(false)),
+                    ("Phase", t("running")),
+                    ("AgeS", Any::Float(60.0)),
+                ])
+            });
+            let hosts = Any::List(hosts.collect());
+            (200, map([("Hosts", hosts), ("HasNext", Any::Bool(false))]))
         }
         (_, "/hosts/return") => (200, Any::Nil(())),
         _ => (503, map([("error", t("no capacity"))])),
@@ -357,6 +424,10 @@
         worker
     }
 
+    pub fn endpoint(&self) -> String {
+        self.endpoint.clone()
+    }
+
     /// Tasks started so far, with their attempts.
     pub fn starts(&self) -> Vec<(String, u64)> {
         self.machine.lock().expect("the machine").starts.clone()
