--- a/src/core/placement.rs
+++ b/src/core/placement.rs
@@ -37,6 +37,8 @@
 const PATIENCE_SHARE: f64 = 0.25;
 /// Waits no longer than this are not worth anybody's work.
 const PREEMPT_PATIENCE: Duration = Duration::from_secs(2);
+/// What it costs a stopped task to be placed and started again.
+const RESTART: Duration = Duration::from_secs(5);
 /// A task that has run for less is left alone: stopped so early, its start would have been in vain.
 const VICTIM_RAN: Duration = Duration::from_secs(31);
 /// What has waited for longer than this goes before the rest of its urgency, by arrival: the
@@ -167,11 +169,13 @@
     }
     let progress = ran.as_secs_f64() + kept.as_secs_f64();
     let every = job.spec.snapshot_every.as_secs_f64();
-    Some(match (a.running_since, every > 0.0) {
-        (None, _) => 0.0,
+    let work = match (a.running_since, every > 0.0) {
+        (None, _) => now.saturating_duration_since(a.placed).as_secs_f64(),
         (_, true) => progress % every,
         (_, false) => progress,
-    })
+    };
+    // Whatever it had done, it has to be placed and started again.
+    Some(work + RESTART.as_secs_f64())
 }
 
 /// Whether a job may start one more task there: the one place that every launch passes.
@@ -856,7 +860,10 @@
                          taken: &[HashSet<usize>],
                          usage: &HashMap<TeamName, Need>| {
                 let s = &slots[i];
-                let mut loss = s.penalty(now, rates[s.type_index], job).as_secs_f64();
+                // In the same unit as what the victims lose: seconds of a machine's share. Room that
+                // is free but lacks the image then goes before tasks that only just came.
+                let share = spec.need.share_of(&self.types[s.type_index].room);
+                let mut loss = s.penalty(now, rates[s.type_index], job).as_secs_f64() * share;
                 let mut room = pool[i];
                 let mut victims = Vec::new();
                 for (n, v) in candidates[i].iter().enumerate() {
