--- a/src/core/cluster.rs
+++ b/src/core/cluster.rs
@@ -27,7 +27,7 @@
 const ROUND_LEAST: Duration = Duration::from_millis(100);
 const ROUND_MOST: Duration = Duration::from_millis(1500);
 /// Renting and returning, and what else walks all hosts or tasks, need no more than this.
-const ENDINGS_WAIT: Duration = Duration::from_millis(1500);
+const ENDINGS_WAIT: Duration = Duration::from_millis(4000);
 const CAPACITY_EVERY: Duration = Duration::from_millis(450);
 const SWEEP_EVERY: Duration = Duration::from_millis(450);
 
@@ -98,6 +98,8 @@
     pub starved: bool,
     /// Tasks that still go before all others.
     pub turn: u32,
+    /// Attempts whose intents are not durable yet.
+    pub unlaunched: u32,
 }
 
 impl Job {
@@ -110,6 +112,7 @@
             last_placed: arrived,
             starved: false,
             turn: 0,
+            unlaunched: 0,
             withdrawn: false,
             withdrawn_at: None,
             finished: false,
@@ -152,7 +155,8 @@
         let due = |i: u32, c: &Chunk| {
             let waited = |t: Instant| now.saturating_duration_since(t) >= ENDINGS_WAIT;
             c.version > c.written
-                && (c.ended_since.is_none_or(waited) || self.unlaunched(i).next().is_some())
+                && (c.ended_since.is_none_or(waited)
+                    || self.unlaunched > 0 && self.intents(i).next().is_some())
         };
         let dirty = self.chunks.iter().filter(|(i, c)| due(**i, c));
         dirty.map(|(i, _)| *i).collect()
@@ -171,7 +175,7 @@
                 .collect(),
         }
     }
-    pub fn unlaunched(&self, chunk: u32) -> impl Iterator<Item = (u32, Attempt)> + '_ {
+    pub fn intents(&self, chunk: u32) -> impl Iterator<Item = (u32, Attempt)> + '_ {
         let range = chunk * CHUNK..chunk.saturating_add(1).saturating_mul(CHUNK);
         self.active
             .range(range)
@@ -411,6 +415,8 @@
     pub(super) leftovers: Vec<String>,
     pub(super) in_flight: Option<InFlight>,
     pub(super) store_pause: Option<Instant>,
+    /// Changes that the state service's rate has room for now.
+    pub(super) allowance: usize,
     pub(super) next_summary: Instant,
     pub(super) next_cleanup: Instant,
     pub(super) gone_jobs: Vec<Uid>,
@@ -461,6 +467,7 @@
             leftovers: Vec::new(),
             in_flight: None,
             store_pause: None,
+            allowance: usize::MAX,
             next_summary,
             next_cleanup: now,
             gone_jobs: Vec::new(),
@@ -654,6 +661,7 @@
         job.active.insert(index, active);
         job.last_placed = now;
         job.turn = job.turn.saturating_sub(1);
+        job.unlaunched += 1;
         job.touch(index);
         let need = job.spec.need;
         h.placed.insert(job.task(index), need);
@@ -684,6 +692,7 @@
         }
         a.durable = true;
         a.placed = now;
+        job.unlaunched = job.unlaunched.saturating_sub(1);
         if !withdrawn {
             self.urgent.insert(a.host.clone());
         }
@@ -725,6 +734,9 @@
     ) -> Option<Active> {
         let job = self.jobs.get_mut(uid)?;
         let a = job.active.remove(&index)?;
+        if !a.durable {
+            job.unlaunched = job.unlaunched.saturating_sub(1);
+        }
         let attempt = a.attempt;
         let need = job.spec.need;
         let chunk = job.touch(index);
@@ -1472,6 +1484,12 @@
         self.urgent.extend(due);
     }
 
+    /// How many changes the next transaction may have: a larger one would wait for the rate with all
+    /// that is in it.
+    pub fn allow(&mut self, changes: usize) {
+        self.allowance = changes;
+    }
+
     /// How long the last tick took: rounds leave most of the processor to reports and users.
     pub fn tick_took(&mut self, took: Duration) {
         self.round_pace = (took * ROUND_SHARE).clamp(ROUND_LEAST, ROUND_MOST);
--- a/src/core/ledger.rs
+++ b/src/core/ledger.rs
@@ -113,22 +113,30 @@
         if self.in_flight.is_some() || self.store_pause.is_some_and(|p| now < p) {
             return None;
         }
+        // A verdict takes two.
+        if self.allowance < 2 {
+            return None;
+        }
         let mut flight = InFlight::default();
         let mut conditions = vec![(LEADER_KEY.to_owned(), self.leader_stamp)];
         let mut ops = Vec::new();
-        let most = self.params.txn_ops.max(1);
+        let most = self.params.txn_ops.max(1).min(self.allowance);
         let mut bytes = 0;
         // In the queue's order, without a walk over all jobs: this is asked after every event.
-        let mut dirty: Vec<(Reverse<Urgency>, u64, Uid)> = self
+        // Intents and verdicts first; endings can wait when the rate is short.
+        let mut dirty: Vec<(bool, Reverse<Urgency>, u64, Uid)> = self
             .dirty_jobs
             .iter()
             .map(|u| match self.jobs.get(u) {
-                Some(j) => (Reverse(j.spec.urgency), j.stamp, u.clone()),
-                None => (Reverse(Urgency::Idle), u64::MAX, u.clone()),
+                Some(j) => {
+                    let waits = j.unlaunched == 0 && !j.final_due();
+                    (waits, Reverse(j.spec.urgency), j.stamp, u.clone())
+                }
+                None => (true, Reverse(Urgency::Idle), u64::MAX, u.clone()),
             })
             .collect();
         dirty.sort();
-        let dirty: Vec<Uid> = dirty.into_iter().map(|d| d.2).collect();
+        let dirty: Vec<Uid> = dirty.into_iter().map(|d| d.3).collect();
         for uid in dirty {
             let Some(job) = self.jobs.get_mut(&uid) else {
                 self.dirty_jobs.remove(&uid);
@@ -168,7 +176,7 @@
                 flight.chunks.push((uid.clone(), index, chunk.version));
                 flight
                     .launches
-                    .extend(job.unlaunched(index).map(|(i, a)| (job.task(i), a)));
+                    .extend(job.intents(index).map(|(i, a)| (job.task(i), a)));
                 ops.push(Op::Put(chunk_key(&uid, index), Value::Chunk(value)));
             }
             // A withdrawn job's tasks are only ever removed: its intents need no further leave.
--- a/src/net/store.rs
+++ b/src/net/store.rs
@@ -176,7 +176,7 @@
 
 /// The leader's part of all requests and of all changes. The rest is the users', node by node.
 const LEADER_REQUESTS: f64 = 0.4;
-const LEADER_CHANGES: f64 = 0.55;
+const LEADER_CHANGES: f64 = 0.6;
 /// Bursts of one second's worth are allowed; a little less allows for the clocks.
 const BURST_S: f64 = 0.9;
 
@@ -203,6 +203,11 @@
         self.users.0.take_above(1.0, floor, now)
     }
 
+    /// Changes that the leader could make now.
+    pub fn changes_left(&self, now: Instant) -> usize {
+        self.leader.1.left_at(now) as usize
+    }
+
     pub fn leave(&self, rank: Rank, writes: usize, now: Instant) -> bool {
         let (requests, changes) = match rank {
             Rank::User => &self.users,
@@ -230,6 +235,10 @@
         }
     }
 
+    pub fn changes_left(&self) -> usize {
+        self.budgets.changes_left(Instant::now())
+    }
+
     fn leave(&self, rank: Rank, writes: usize) -> Result<(), StoreError> {
         if self.budgets.leave(rank, writes, Instant::now()) {
             Ok(())
--- a/src/runtime/budget.rs
+++ b/src/runtime/budget.rs
@@ -37,6 +37,12 @@
         self.take_above(n, 0.0, now)
     }
 
+    pub fn left_at(&self, now: Instant) -> f64 {
+        let s = self.state.lock().unwrap_or_else(|e| e.into_inner());
+        let passed = now.saturating_duration_since(s.1).as_secs_f64();
+        (s.0 + passed * self.rate).min(self.size)
+    }
+
     /// Takes `n` only when this part of the bucket is left.
     pub fn take_above(&self, n: f64, floor: f64, now: Instant) -> bool {
         let mut s = self.state.lock().unwrap_or_else(|e| e.into_inner());
--- a/src/runtime/duties.rs
+++ b/src/runtime/duties.rs
@@ -97,6 +97,7 @@
             continue;
         };
         let ticking = now >= next_tick;
+        c.allow(shared.store.changes_left());
         let actions = if ticking { c.tick(now) } else { c.flush(now) };
         if ticking {
             let took = now.elapsed();
