--- a/src/core/placement.rs
+++ b/src/core/placement.rs
@@ -42,7 +42,8 @@
 /// A task that has run for less is left alone: stopped so early, its start would have been in vain.
 const VICTIM_RAN: Duration = Duration::from_secs(31);
 /// What has waited for longer than this goes before the rest of its urgency, by arrival: the
-/// exceptions that favour small, punctual and guaranteed work end there.
+/// exceptions that favour small and punctual work end there. Guaranteed work stays first, since it may
+/// stop borrowed work: were that placed before it, one would be stopped for the other in every round.
 const AGED: Duration = Duration::from_secs(150);
 /// Every job begins within four minutes. One none of whose tasks was placed for this long has a turn:
 /// it goes before all others, whatever their urgency or size, with one part in so many of its tasks.
@@ -316,7 +317,7 @@
 }
 impl Eq for Claim {}
 
-/// A job's place in the queue: urgency, not aged, borrowed, late, size.
+/// A job's place in the queue: urgency, borrowed, not aged, late, size.
 type Place = (Reverse<Urgency>, bool, bool, bool, i64);
 /// What a team uses beside what is being stopped, and its tasks with what stopping each loses.
 type OwnWork<'a> = (Need, Vec<(f64, TaskId, &'a Job)>);
@@ -720,9 +721,9 @@
                 let borrowed = !within.contains(&j.spec.uid);
                 let urgency = Reverse(j.spec.urgency);
                 if now.saturating_duration_since(j.arrived) > AGED {
-                    return ((urgency, false, false, false, 0), *j);
+                    return ((urgency, borrowed, false, false, 0), *j);
                 }
-                ((urgency, true, borrowed, late, size), *j)
+                ((urgency, borrowed, true, late, size), *j)
             })
             .collect();
         order.sort_by_key(|o| o.0);
@@ -847,6 +848,10 @@
                 .filter(|w| w.wait.is_none_or(|x| x > patience))
                 .map(|w| w.count)
                 .sum();
+            let soonest = group
+                .iter()
+                .filter_map(|w| Some((w.wait.filter(|x| *x > patience)?, w.est)))
+                .min_by_key(|(wait, est)| *wait + *est);
             let covered = within.contains(&first.uid);
             if left == 0 || spec.kind == JobKind::Gang {
                 continue;
@@ -862,8 +867,17 @@
                 let s = &slots[i];
                 // In the same unit as what the victims lose: seconds of a machine's share. Room that
                 // is free but lacks the image then goes before tasks that only just came.
-                let share = spec.need.share_of(&self.types[s.type_index].room);
-                let mut loss = s.penalty(now, rates[s.type_index], job).as_secs_f64() * share;
+                let t = &self.types[s.type_index];
+                let share = spec.need.share_of(&t.room);
+                let penalty = s.penalty(now, rates[s.type_index], job);
+                // Only where the claimant would then go: if the machine that it waits for stays the
+                // better one, others fill the room, and are stopped again in the next round.
+                let est = self.history.est(spec, &t.name).mul_f64(s.speed);
+                let there = penalty + est + Duration::from_secs_f64(RESOLUTION_S);
+                if soonest.is_some_and(|(wait, est)| there > wait + TURNAROUND + est) {
+                    return None;
+                }
+                let mut loss = penalty.as_secs_f64() * share;
                 let mut room = pool[i];
                 let mut victims = Vec::new();
                 for (n, v) in candidates[i].iter().enumerate() {
@@ -1323,4 +1337,43 @@
         }
         assert!(started > 1000 && booked > 1000, "{started} {booked}");
     }
+
+    #[test]
+    fn what_stopping_a_task_loses() {
+        let now = Instant::now();
+        let secs = Duration::from_secs;
+        // Seconds since it was placed and since it ran, whether it saves, whether its start counts.
+        let cases = [
+            ("only just placed", 1, None, true, false, Some(1.0)),
+            ("fetching for long", 20, None, true, false, Some(20.0)),
+            ("saved 3 s ago", 50, Some(43), true, false, Some(3.0)),
+            ("does not save", 50, Some(43), false, false, Some(43.0)),
+            ("its start was promised", 20, Some(10), true, true, None),
+            ("about to end", 99, Some(89), true, false, None),
+        ];
+        for (name, placed, ran, saves, counted, work) in cases {
+            let mut rng = StdRng::seed_from_u64(1);
+            let mut c = cluster(&mut rng, now);
+            let mut s = job(&mut rng, 1);
+            s.snapshot_every = if saves { secs(20) } else { Duration::ZERO };
+            c.on_job(s.clone(), 9);
+            let a = Active {
+                host: "i-000".into(),
+                attempt: Attempt(1),
+                durable: true,
+                launch_epoch: Epoch(1),
+                tenure: Some(1),
+                placed: now - secs(placed),
+                seen: None,
+                running_since: ran.map(|r| now - secs(r)),
+                measured: true,
+                est: secs(90),
+                kill: None,
+                given: None,
+            };
+            let loss = victim_loss(now, &c.jobs[&s.uid], &a, Duration::ZERO, counted);
+            // Never for nothing: it would be stopped each time that it is placed.
+            assert_eq!(loss, work.map(|w| w + 5.0), "{name}");
+        }
+    }
 }
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -153,6 +153,74 @@
     assert_eq!(sent[0].0, "i-2".into(), "a fetch is shorter than the wait");
 }
 
+#[test]
+fn no_task_waits_for_a_busy_machine_that_is_a_little_better() {
+    // The busy machine's lead over the idle one: seconds until it is free, its measured speed.
+    for (rest, slowness, waits) in [(1, 0.0, false), (1, -0.2, false), (0, -0.3, false)] {
+        let mut w = World::new();
+        w.beat("i-1", 1, vec![]);
+        let mut s = spec("wk-000001", 1, 8.0);
+        s.expected = secs(10);
+        w.job(s);
+        let a = launches(&w.settle())[0].2;
+        let running = || vec![shown("wk-000001", 0, a, TaskPhase::Running)];
+        w.beat("i-1", 2, running());
+        w.pass(secs(10 - rest));
+        w.beat("i-1", 3, running());
+        w.beat("i-2", 1, vec![]);
+        for _ in 0..4 {
+            let h = w.c.hosts.get_mut(&HostId::from("i-1")).unwrap();
+            h.slowness.add(slowness);
+        }
+        let h = w.c.hosts.get_mut(&HostId::from("i-2")).unwrap();
+        h.images.push_back((ImageKey::of("img-1"), 2.0));
+        w.job(spec("wk-000002", 1, 4.0));
+        let sent = launches(&w.settle());
+        assert_eq!(sent.is_empty(), waits, "{rest} {slowness}");
+        assert_eq!(sent[0].0, "i-2".into());
+    }
+}
+
+#[test]
+fn nobody_is_stopped_for_a_task_that_would_not_take_the_room() {
+    // Size of the claimant's image, cached only where more urgent work ends soon -> stopped.
+    for (gb, stopped) in [(1.0, true), (40.0, false)] {
+        let mut w = World::new();
+        w.beat("i-1", 1, vec![]);
+        w.beat("i-2", 1, vec![]);
+        let mut soon = spec("wk-000001", 1, 8.0);
+        soon.urgency = Urgency::High;
+        soon.expected = secs(50);
+        w.job(soon);
+        let one = launches(&w.settle())[0].clone();
+        let mut long = spec("wk-000002", 1, 8.0);
+        long.expected = secs(500);
+        long.image = "img-2".into();
+        w.job(long);
+        let two = launches(&w.settle())[0].clone();
+        assert_ne!(one.0, two.0);
+        let mut serial = 5;
+        let mut run = |w: &mut World| {
+            for (host, t, a) in [&one, &two] {
+                let running = vec![shown(&t.uid.0, 0, *a, TaskPhase::Running)];
+                w.beat(&host.0, serial, running);
+            }
+            serial += 1;
+        };
+        run(&mut w);
+        w.pass(secs(43));
+        run(&mut w);
+        let mut claimant = spec("wk-000003", 1, 8.0);
+        claimant.urgency = Urgency::High;
+        claimant.image_gb = gb;
+        claimant.expected = secs(10);
+        w.job(claimant);
+        w.settle();
+        let kill = w.c.jobs[&Uid::from("wk-000002")].active[&0].kill.is_some();
+        assert_eq!(kill, stopped, "{gb}");
+    }
+}
+
 #[test]
 fn a_slow_host_loses_its_draw() {
     let mut w = World::new();
@@ -205,6 +273,26 @@
     }
 }
 
+#[test]
+fn guaranteed_work_goes_before_borrowed_work_however_long_that_waited() {
+    // It may stop borrowed work: if that were placed first, one would be stopped for the other in
+    // every round. Of the borrowed job only its turn, an eighth, goes first.
+    let mut w = World::new();
+    let mut s = spec("wk-000001", 8, 8.0);
+    s.owner = "grey".into();
+    w.job(s);
+    w.pass(secs(200));
+    let mut s = spec("wk-000002", 1, 8.0);
+    s.owner = "blue".into();
+    s.accepted_ms = 200_000;
+    w.job(s);
+    w.beat("i-1", 1, vec![]);
+    w.beat("i-2", 1, vec![]);
+    let sent = launches(&w.settle());
+    let of = |uid: &str| sent.iter().filter(|l| l.1.uid == uid.into()).count();
+    assert_eq!((of("wk-000001"), of("wk-000002")), (1, 1));
+}
+
 #[test]
 fn small_jobs_go_first_while_jobs_with_deadlines_are_late() {
     // Whether the late job has a deadline of its own -> the small one of two overtakes.
--- a/tests/evidence.rs
+++ b/tests/evidence.rs
@@ -436,3 +436,46 @@
     }
     assert!(w.now - start >= std::time::Duration::from_secs(3));
 }
+
+#[test]
+fn a_transaction_is_no_larger_than_the_rate_has_room_for_and_intents_go_first() {
+    let mut p = params();
+    p.teams[0].cpus_max = None;
+    let mut w = World::with(p, vec![host_type("m8", 64.0)]);
+    w.beat("i-1", 1, vec![]);
+    w.job(spec("wk-000001", 1, 4.0));
+    let ended = launches(&w.settle())[0].2;
+    // An ending of the older job is unwritten; four others have intents.
+    w.beat(
+        "i-1",
+        2,
+        vec![shown(
+            "wk-000001",
+            0,
+            ended,
+            TaskPhase::Ended(Exit::Unknown),
+        )],
+    );
+    w.c.jobs
+        .get_mut(&Uid::from("wk-000001"))
+        .unwrap()
+        .backoff_until = Some(w.now + secs(60));
+    for n in 2..6 {
+        let mut s = spec(&format!("wk-00000{n}"), 1, 4.0);
+        s.class = "other".into();
+        w.job(s);
+    }
+    w.pass(secs(5));
+    w.beat("i-1", 3, vec![]);
+    w.c.allow(0);
+    assert_eq!(w.batch(), None);
+    w.c.allow(3);
+    let first = w.batch().expect("what there is room for");
+    assert_eq!(first.ops.len(), 3);
+    let old = chunk_key(&"wk-000001".into(), 0);
+    assert!(!first.conditions.iter().any(|c| c.0 == old), "endings wait");
+    w.c.on_batch(w.now, BatchOutcome::Applied { revision: 400 });
+    w.c.allow(24);
+    let rest = w.batch().expect("the rest");
+    assert!(rest.conditions.iter().any(|c| c.0 == old));
+}
--- a/tests/troubles.rs
+++ b/tests/troubles.rs
@@ -432,7 +432,14 @@
     let start = Instant::now();
     let ip = |n: u8| IpAddr::V4(Ipv4Addr::new(10, 1, 0, n));
     // Own workers, own leader (None: this node leads), peers' counts -> where one more goes.
-    let cases: [(&str, u8, Option<&str>, [u32; 2], Option<&str>); 5] = [
+    type Case = (
+        &'static str,
+        u8,
+        Option<&'static str>,
+        [u32; 2],
+        Option<&'static str>,
+    );
+    let cases: [Case; 5] = [
         ("the leader keeps a small part", 90, None, [0, 5], Some("b")),
         (
             "a follower with far too many",
