--- a/tests/end_to_end.rs
+++ b/tests/end_to_end.rs
@@ -229,6 +229,56 @@
     }
 }
 
+#[test]
+fn every_accepted_job_ends_and_is_known_once_troubles_are_over() {
+    let site = Site::new(2);
+    let nodes = [site.start(0), site.start(1)];
+    let worker = Worker::start("i-1", Duration::from_millis(300), site.names.clone());
+    let [a, b] = [site.names[0].1, site.names[1].1];
+    // Accepted by either node, the last ones just before everything is out.
+    let jobs = ["wk-000011", "wk-000012", "wk-000013", "wk-000014"];
+    for (n, uid) in jobs.iter().enumerate() {
+        submit([a, b][n % 2], uid, 2);
+    }
+    site.state
+        .out
+        .store(true, std::sync::atomic::Ordering::SeqCst);
+    until("nobody answers for the state service", || {
+        let lost = [a, b].map(|n| call("GET", n, "/api/jobs/wk-000014", None).0);
+        (lost == [503, 503]).then_some(())
+    });
+    // The leader goes during the outage.
+    let leader = nodes.iter().position(|n| leads(n).is_some());
+    let leader = leader.expect("it leads on");
+    site.to_state[leader].cut(true);
+    for l in &site.to_peer {
+        l.cut(true);
+    }
+    site.state
+        .out
+        .store(false, std::sync::atomic::Ordering::SeqCst);
+    for l in &site.to_peer {
+        l.cut(false);
+    }
+    let other = site.names[1 - leader].1;
+    for uid in jobs {
+        until("done", || (phase(other, uid)? == "done").then_some(()));
+    }
+    // The one that was cut off knows them too, once it is back.
+    site.to_state[leader].cut(false);
+    for uid in jobs {
+        until("known again", || {
+            (phase(site.names[leader].1, uid)? == "done").then_some(())
+        });
+    }
+    let ran: std::collections::BTreeSet<String> =
+        worker.starts().into_iter().map(|s| s.0).collect();
+    assert_eq!(ran.len(), 8);
+    for n in nodes {
+        n.stop();
+    }
+}
+
 #[test]
 fn a_node_back_at_once_takes_nothing_of_its_earlier_life_for_its_own() {
     let mut site = Site::new(1);
--- a/tests/standins/mod.rs
+++ b/tests/standins/mod.rs
@@ -5,7 +5,7 @@
 use std::collections::BTreeMap;
 use std::io::Read;
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU16, AtomicU64, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant};
 use tiny_http::{Method, Response, Server};
@@ -58,9 +58,19 @@
     Any::Text(s.to_owned())
 }
 
+/// A free port for a node that is started later. Below the range from which the system takes ports
+/// for connections and for listeners that name none: one of those would have it by then.
 pub fn free_port() -> SocketAddr {
-    let l = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    l.local_addr().expect("its address")
+    static NEXT: AtomicU16 = AtomicU16::new(0);
+    let first = 15_000 + (std::process::id() % 100) as u16 * 100;
+    for _ in 0..5_000 {
+        let port = 15_000 + (first + NEXT.fetch_add(1, Ordering::SeqCst)) % 12_000;
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        if TcpListener::bind(address).is_ok() {
+            return address;
+        }
+    }
+    panic!("no free port");
 }
 
 type Answer = (u16, Any);
