One thread reads for all connections; reports are taken on together

Cause: tiny_http starts a thread for each connection. Ruled out: answers with Connection: close alone, since each report would cost a connection. Now: mio and httparse; a connection costs its socket and a few hundred bytes, silent and slow clients hold no thread, and reports that came together go to the core or to the leader together. Sockets are shared out from max_sockets. Reports and questions that waited too long get 503 at once.

--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -1,57 +1,45 @@
-//! The front: users, workers and health checks over `tiny_http`.
+//! The front: users, workers and health checks.
 //!
-//! Requests pass through stages with small bounded queues: the connection's own thread, the
-//! dispatcher, then the pool for reports or the pool for users. A full queue is answered at once.
-//! Only the users' pool waits for the state service, so a slow one never holds reports up.
+//! Requests pass through stages with small bounded queues: the listener's thread, then the pool for
+//! reports or the pool for users. A full queue is answered at once. Only the users' pool waits for
+//! the state service, so a slow one never holds reports up; health checks wait for nobody.
 
+use super::listen::{self, Limits, Request};
 use super::wire::{self, JobState, JustUid, Submission};
 use crate::core::admission;
 use crate::core::ledger::{job_key, live_key, withdrawn_key, Verdict};
-use crate::core::model::Uid;
+use crate::core::model::{JobSpec, Uid};
 use crate::net::store::{Change, Content, StoreError, Txn};
 use crate::runtime::budget::Rank;
 use crate::runtime::duties::verdict_name;
-use crate::runtime::service::{problem, Shared};
+use crate::runtime::service::Shared;
 use crossbeam::channel::{bounded, Receiver, Sender, TrySendError};
-use std::io::Read;
-use std::net::{IpAddr, SocketAddr, TcpListener};
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::net::TcpListener;
 use std::sync::Arc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
-use tiny_http::{Header, Method, Request, Response, Server, StatusCode};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-/// `tiny_http` reads bodies up to this size before it hands a request on.
-const BUFFERED: usize = 1024;
-/// Longer bodies are read by threads of their own, at most this many, so that a client that stops
-/// in the middle of one holds up nobody else.
-const BODY_READERS: usize = 48;
-const BODY_PATIENCE: Duration = Duration::from_secs(3);
+/// Reports that wait for a thread. The rush after all controllers were gone fits in; what does not is
+/// sent on, and comes back a second later.
+const BEATS_WAITING: usize = 256;
+const USERS_WAITING: usize = 64;
+/// Threads for reports, and the reports that each takes on at a time.
+const BEAT_THREADS: usize = 4;
+pub const BEAT_BATCH: usize = 48;
+/// A worker waits 4 s for its answer. What has waited for most of that is answered at once instead.
+const BEAT_STALE: Duration = Duration::from_millis(2500);
+/// A user waits 2 s for an answer to a question, and 5 s for one to a submission.
+const USER_STALE: Duration = Duration::from_millis(1800);
+/// Connections are closed after as many intervals of the workers' reports without a request.
+const IDLE_REPORTS: u32 = 8;
+const IDLE_LEAST: Duration = Duration::from_secs(60);
 
 type Spawn<'a> = dyn FnMut(&str, Box<dyn FnOnce() + Send>) -> std::io::Result<()> + 'a;
 
-/// The listening socket. Accepted sockets inherit its keep-alive, which ends the connections of
-/// clients that vanished: `tiny_http` itself sets no time-outs.
-pub fn bind(address: SocketAddr) -> std::io::Result<TcpListener> {
-    use socket2::{Domain, Protocol, Socket, TcpKeepalive, Type};
-    let socket = Socket::new(
-        Domain::for_address(address),
-        Type::STREAM,
-        Some(Protocol::TCP),
-    )?;
-    socket.set_reuse_address(true)?;
-    let alive = TcpKeepalive::new()
-        .with_time(Duration::from_secs(30))
-        .with_interval(Duration::from_secs(10));
-    if let Err(e) = socket.set_tcp_keepalive(&alive) {
-        log::debug!("no keep-alive why=\"{e}\"");
-    }
-    // Inherited too: answers are written in one go and must not wait for acknowledgements.
-    if let Err(e) = socket.set_nodelay(true) {
-        log::debug!("no no-delay why=\"{e}\"");
-    }
-    socket.bind(&address.into())?;
-    socket.listen(512)?;
-    Ok(socket.into())
+pub fn problem(status: u16, error: &str) -> (u16, Vec<u8>) {
+    let body = wire::Problem {
+        error: error.to_owned(),
+    };
+    (status, wire::encode(&body))
 }
 
 pub fn serve(
@@ -59,213 +47,163 @@
     listener: TcpListener,
     spawn: &mut Spawn<'_>,
 ) -> std::io::Result<()> {
-    let handlers = shared.settings.operations.handlers;
-    let (beats, beat_queue) = bounded::<Request>(64);
-    let (users, user_queue) = bounded::<Request>(64);
-    let readers = Arc::new(AtomicUsize::new(0));
-    // Reports wait for the core or for the leader, one thread each.
-    for _ in 0..handlers * 2 {
-        let (s, q, r) = (shared.clone(), beat_queue.clone(), readers.clone());
-        spawn(
-            "beats",
-            Box::new(move || pool(&q, &r, |from, _, _, body| (s.beat(from, body), None))),
-        )?;
+    let (beats, beat_queue) = bounded::<Request>(BEATS_WAITING);
+    let (users, user_queue) = bounded::<Request>(USERS_WAITING);
+    for _ in 0..BEAT_THREADS {
+        let (s, q) = (shared.clone(), beat_queue.clone());
+        spawn("beats", Box::new(move || beat_pool(&s, &q)))?;
     }
-    for _ in 0..handlers {
-        let (s, q, r) = (shared.clone(), user_queue.clone(), readers.clone());
-        spawn(
-            "users",
-            Box::new(move || pool(&q, &r, |_, m, p, body| user_request(&s, m, p, body))),
-        )?;
+    for _ in 0..shared.settings.operations.handlers {
+        let (s, q) = (shared.clone(), user_queue.clone());
+        spawn("users", Box::new(move || user_pool(&s, &q)))?;
     }
+    let limits = Limits {
+        connections: shared.settings.sockets().front,
+        body: wire::BODY_LIMIT,
+        idle: (shared.settings.params.report * IDLE_REPORTS).max(IDLE_LEAST),
+    };
     let s = shared.clone();
     spawn(
         "front",
-        Box::new(move || accept_loop(&s, listener, &beats, &users)),
+        Box::new(move || {
+            let take = |requests| dispatch(&s, requests, &beats, &users);
+            if let Err(e) = listen::serve(listener, limits, &s.stop, take) {
+                log::error!("the front cannot listen why=\"{e}\"");
+            }
+        }),
     )
 }
 
-/// Runs `tiny_http`, and starts it anew on the same socket when its accepting thread has ended:
-/// it ends for good at the first error, such as no free sockets.
-fn accept_loop(
-    shared: &Arc<Shared>,
-    listener: TcpListener,
+fn dispatch(
+    shared: &Shared,
+    requests: Vec<Request>,
     beats: &Sender<Request>,
     users: &Sender<Request>,
 ) {
-    while !shared.stop.stopped() {
-        let server = match listener
-            .try_clone()
-            .map_err(|e| e.to_string())
-            .and_then(|l| Server::from_listener(l, None).map_err(|e| e.to_string()))
-        {
-            Ok(s) => Arc::new(s),
-            Err(e) => {
-                log::error!("the front cannot listen why=\"{e}\"");
-                shared.stop.wait(Duration::from_millis(500));
+    for request in requests {
+        let queue = match request.path.as_str() {
+            "/up" => {
+                let get = matches!(request.method.as_str(), "GET" | "HEAD");
+                let (status, body) = match (get, shared.view.healthy(request.came)) {
+                    (true, true) => (200, Vec::new()),
+                    (true, false) => problem(503, "the state service is lost"),
+                    (false, _) => problem(405, "wrong method"),
+                };
+                request.respond(status, &body, None);
                 continue;
             }
-        };
-        while !shared.stop.stopped() {
-            match server.recv_timeout(Duration::from_secs(5)) {
-                Ok(Some(request)) => dispatch(shared, request, beats, users),
-                Ok(None) => {}
-                Err(e) => {
-                    log::warn!("accepting ended why=\"{e}\"");
-                    break;
+            _ => match route(&request.method, &request.path) {
+                Ok(Route::Beat) => beats,
+                Ok(_) => users,
+                Err(refusal) => {
+                    respond(request, (refusal, None));
+                    continue;
                 }
+            },
+        };
+        match queue.try_send(request) {
+            Ok(()) => {}
+            Err(TrySendError::Full(r) | TrySendError::Disconnected(r)) => {
+                let answer = hopeless(&r).unwrap_or((problem(503, "busy"), Some(1)));
+                respond(r, answer)
             }
         }
-        if !shared.stop.stopped() {
-            // Connections of this server live on: their requests still come through its queue.
-            let (s, b, u) = (shared.clone(), beats.clone(), users.clone());
-            let spawned = std::thread::Builder::new()
-                .name("front-old".into())
-                .spawn(move || {
-                    while !s.stop.stopped() {
-                        if let Ok(Some(r)) = server.recv_timeout(Duration::from_secs(5)) {
-                            dispatch(&s, r, &b, &u);
-                        }
-                    }
-                });
-            if spawned.is_err() {
-                log::error!("no thread for open connections");
-            }
-            shared.stop.wait(Duration::from_millis(200));
-        }
     }
 }
 
-fn dispatch(shared: &Shared, request: Request, beats: &Sender<Request>, users: &Sender<Request>) {
-    let path = path_of(&request);
-    let queue = match path.as_str() {
-        "/up" => {
-            let answer = match (
-                request.method(),
-                shared.view.healthy(std::time::Instant::now()),
-            ) {
-                (Method::Get | Method::Head, true) => (200, Vec::new()),
-                (Method::Get | Method::Head, false) => problem(503, "the state service is lost"),
-                _ => problem(405, "wrong method"),
-            };
-            return respond(request, answer, None);
-        }
-        "/agent/beat" => beats,
-        p if p == "/api/jobs" || p.starts_with("/api/jobs/") => users,
-        _ => return respond(request, problem(404, "no such path"), None),
-    };
-    match queue.try_send(request) {
-        Ok(()) => {}
-        Err(TrySendError::Full(r) | TrySendError::Disconnected(r)) => {
-            respond(r, problem(503, "busy"), Some(1))
-        }
+/// What can be refused for good without asking anybody: it must not be told to come back.
+fn hopeless(r: &Request) -> Option<Answer> {
+    match route(&r.method, &r.path) {
+        Err(refusal) => Some((refusal, None)),
+        Ok(Route::Submit) => match read_submission(&r.body) {
+            Err((None, refusal)) => Some((refusal, None)),
+            _ => None,
+        },
+        Ok(_) => None,
     }
 }
 
-fn path_of(request: &Request) -> String {
-    let url = request.url();
-    url.split('?').next().unwrap_or(url).to_owned()
+type Answer = ((u16, Vec<u8>), Option<u64>);
+
+fn respond(request: Request, ((status, body), retry_after): Answer) {
+    request.respond(status, &body, retry_after);
 }
 
-type Answer = ((u16, Vec<u8>), Option<u64>);
+/// Takes the reports that have come together on together: one word to the core, or one frame to the
+/// leader, serves all of them.
+fn beat_pool(shared: &Shared, queue: &Receiver<Request>) {
+    while let Ok(first) = queue.recv() {
+        let mut batch = vec![first];
+        while batch.len() < BEAT_BATCH {
+            match queue.try_recv() {
+                Ok(r) => batch.push(r),
+                Err(_) => break,
+            }
+        }
+        let now = Instant::now();
+        batch.retain_mut(|r| {
+            let stale = now.saturating_duration_since(r.came) > BEAT_STALE;
+            if stale {
+                r.give_up();
+            }
+            !stale
+        });
+        let reports = batch
+            .iter_mut()
+            .map(|r| (r.from, std::mem::take(&mut r.body)))
+            .collect();
+        let answers = shared.beats(reports, now);
+        for (r, (status, body)) in batch.into_iter().zip(answers) {
+            r.respond_briefly(status, &body, None);
+        }
+    }
+}
 
-fn pool(
-    queue: &Receiver<Request>,
-    readers: &Arc<AtomicUsize>,
-    handle: impl Fn(Option<IpAddr>, &Method, &str, &[u8]) -> Answer,
-) {
+fn user_pool(shared: &Shared, queue: &Receiver<Request>) {
     while let Ok(request) = queue.recv() {
-        let Some((request, body)) = read_body(request, readers) else {
-            continue;
-        };
-        let path = path_of(&request);
-        let (answer, retry) = match body {
-            Some(b) => {
-                let from = request.remote_addr().map(|a| a.ip());
-                handle(from, request.method(), &path, &b)
+        let late = request.came.elapsed() > USER_STALE;
+        let answer = if late {
+            hopeless(&request).unwrap_or_else(|| unavailable(shared))
+        } else {
+            match route(&request.method, &request.path) {
+                Ok(Route::Submit) => submit(shared, &request.body),
+                Ok(Route::Query(id)) => query(shared, id),
+                Ok(Route::Withdraw(id)) => withdraw(shared, id),
+                Ok(Route::Beat) => (problem(503, "busy"), Some(1)),
+                Err(refusal) => (refusal, None),
             }
-            None => (problem(400, "the body is too long or incomplete"), None),
         };
-        respond(request, answer, retry);
+        respond(request, answer);
     }
 }
 
-type WithBody = (Request, Option<Vec<u8>>);
-
-fn read_capped(mut request: Request) -> WithBody {
-    let mut body = Vec::new();
-    let limit = wire::BODY_LIMIT as u64 + 1;
-    let read = request.as_reader().take(limit).read_to_end(&mut body);
-    let fits = read.is_ok() && body.len() <= wire::BODY_LIMIT;
-    (request, fits.then_some(body))
+enum Route<'a> {
+    Beat,
+    Submit,
+    Query(&'a str),
+    Withdraw(&'a str),
 }
 
-/// The body, capped. None: the client stopped sending, or there are too many such clients.
-fn read_body(request: Request, readers: &Arc<AtomicUsize>) -> Option<WithBody> {
-    if request.body_length().is_some_and(|n| n <= BUFFERED) || request.method() == &Method::Get {
-        return Some(read_capped(request));
-    }
-    if readers.fetch_add(1, Ordering::Relaxed) >= BODY_READERS {
-        readers.fetch_sub(1, Ordering::Relaxed);
-        respond(request, problem(503, "busy"), Some(1));
-        return None;
-    }
-    let (out, done) = bounded(1);
-    let count = readers.clone();
-    let spawned = std::thread::Builder::new()
-        .name("body".into())
-        .stack_size(128 * 1024)
-        .spawn(move || {
-            // When the handler has given up by now, the request ends here unanswered.
-            let _ = out.send(read_capped(request));
-            count.fetch_sub(1, Ordering::Relaxed);
-        });
-    if spawned.is_err() {
-        readers.fetch_sub(1, Ordering::Relaxed);
-        return None;
-    }
-    done.recv_timeout(BODY_PATIENCE).ok()
-}
-
-fn respond(request: Request, (status, body): (u16, Vec<u8>), retry_after: Option<u64>) {
-    let mut headers = Vec::with_capacity(2);
-    if let Ok(h) = Header::from_bytes("Content-Type", "application/msgpack") {
-        headers.push(h);
-    }
-    if let Some(s) = retry_after {
-        if let Ok(h) = Header::from_bytes("Retry-After", s.to_string()) {
-            headers.push(h);
+/// Which request this is, or why it is none.
+fn route<'a>(method: &str, path: &'a str) -> Result<Route<'a>, (u16, Vec<u8>)> {
+    let allowed = |wanted: &str, route| {
+        if method == wanted {
+            Ok(route)
+        } else {
+            Err(problem(405, "wrong method"))
         }
+    };
+    if path == "/agent/beat" {
+        return allowed("POST", Route::Beat);
     }
-    let length = body.len();
-    // Never chunked, whatever the size.
-    let response = Response::new(
-        StatusCode(status),
-        headers,
-        std::io::Cursor::new(body),
-        Some(length),
-        None,
-    )
-    .with_chunked_threshold(usize::MAX);
-    if let Err(e) = request.respond(response) {
-        log::debug!("answer not delivered why=\"{e}\"");
-    }
-}
-
-fn user_request(shared: &Shared, method: &Method, path: &str, body: &[u8]) -> Answer {
     if path == "/api/jobs" {
-        return match method {
-            Method::Post => submit(shared, body),
-            _ => (problem(405, "wrong method"), None),
-        };
+        return allowed("POST", Route::Submit);
     }
-    let rest = path.strip_prefix("/api/jobs/").unwrap_or_default();
-    match (method, rest.split_once('/')) {
-        (Method::Get, None) => query(shared, rest),
-        (_, None) => (problem(405, "wrong method"), None),
-        (Method::Post, Some((id, "withdraw"))) => withdraw(shared, id),
-        (_, Some((_, "withdraw"))) => (problem(405, "wrong method"), None),
-        _ => (problem(404, "no such path"), None),
+    let rest = path.strip_prefix("/api/jobs/");
+    match rest.map(|r| (r, r.split_once('/'))) {
+        Some((id, None)) => allowed("GET", Route::Query(id)),
+        Some((_, Some((id, "withdraw")))) => allowed("POST", Route::Withdraw(id)),
+        _ => Err(problem(404, "no such path")),
     }
 }
 
@@ -335,26 +273,30 @@
     }
 }
 
-fn submit(shared: &Shared, body: &[u8]) -> Answer {
+type Refusal = (u16, Vec<u8>);
+
+/// A submission, or its refusal, with the job's id when that much can be read.
+fn read_submission(body: &[u8]) -> Result<JobSpec, (Option<Uid>, Refusal)> {
     let now = SystemTime::now()
         .duration_since(UNIX_EPOCH)
         .unwrap_or_default();
     let parsed = wire::decode::<Submission>(body)
         .ok_or("body")
         .and_then(|s| s.to_spec(now.as_millis() as u64));
-    let spec = match parsed {
+    parsed.map_err(|field| {
+        let uid = wire::decode::<JustUid>(body)
+            .and_then(|j| j.uid)
+            .and_then(|u| Uid::parse(&u));
+        (uid, problem(400, &format!("missing or invalid: {field}")))
+    })
+}
+
+fn submit(shared: &Shared, body: &[u8]) -> Answer {
+    let spec = match read_submission(body) {
         Ok(s) => s,
-        Err(field) => {
-            let refusal = (problem(400, &format!("missing or invalid: {field}")), None);
-            // A job that was accepted stays known, however its repetition is mangled.
-            let uid = wire::decode::<JustUid>(body)
-                .and_then(|j| j.uid)
-                .and_then(|u| Uid::parse(&u));
-            return match uid {
-                Some(uid) => known(shared, &uid, refusal),
-                None => refusal,
-            };
-        }
+        // A job that was accepted stays known, however its repetition is mangled.
+        Err((Some(uid), refusal)) => return known(shared, &uid, (refusal, None)),
+        Err((None, refusal)) => return (refusal, None),
     };
     let uid = spec.uid.clone();
     let types = shared.view.read().types.clone();
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -4,6 +4,7 @@
 pub mod cloud;
 pub mod front;
 pub mod http;
+pub mod listen;
 pub mod peer;
 pub mod store;
 pub mod wire;
--- a/src/runtime/duties.rs
+++ b/src/runtime/duties.rs
@@ -588,44 +588,6 @@
     }
 }
 
-/// A worker's report on its way to the leader.
-pub struct Relayed {
-    pub body: Vec<u8>,
-    pub reply: Sender<Option<(u16, Vec<u8>)>>,
-}
-
-/// Reports in one frame at most.
-const RELAY_BATCH: usize = 32;
-const RELAY_LIMIT: Duration = Duration::from_millis(2500);
-
-/// Takes reports from this node's workers to the leader, as many at a time as have come meanwhile.
-pub fn relay(shared: &Shared, queue: &Receiver<Relayed>) {
-    while let Ok(first) = queue.recv() {
-        let mut batch = vec![first];
-        while batch.len() < RELAY_BATCH {
-            match queue.try_recv() {
-                Ok(r) => batch.push(r),
-                Err(_) => break,
-            }
-        }
-        let (bodies, replies): (Vec<_>, Vec<_>) =
-            batch.into_iter().map(|r| (r.body, r.reply)).unzip();
-        let leader = match &shared.view.read().role {
-            RoleView::Follower(l) => l.clone(),
-            RoleView::Leader(_) => None,
-        };
-        let peer = leader.and_then(|l| shared.peers.iter().find(|p| p.member == l));
-        let answers = match peer.map(|p| p.ask(&Ask::Beats(bodies), RELAY_LIMIT)) {
-            Some(Ok(Reply::Beats(answers))) => answers,
-            _ => Vec::new(),
-        };
-        let mut answers = answers.into_iter();
-        for r in replies {
-            let _ = r.send(answers.next());
-        }
-    }
-}
-
 fn hello(shared: &Shared, progress: Vec<(String, u32, u32)>, over: Vec<String>) -> Hello {
     let now = Instant::now();
     let i = shared.view.read();
@@ -733,16 +695,14 @@
     }
 }
 
-/// Most connections from peers at a time; each peer holds a few.
-const PEER_CONNECTIONS: usize = 64;
-
 pub fn listen_peers(shared: &std::sync::Arc<Shared>, listener: &TcpListener) {
+    let most = shared.settings.sockets().peers;
     let open = std::sync::Arc::new(std::sync::atomic::AtomicUsize::new(0));
     while !shared.stop.stopped() {
         match listener.accept() {
             Ok((stream, _)) => {
                 use std::sync::atomic::Ordering::Relaxed;
-                if open.fetch_add(1, Relaxed) >= PEER_CONNECTIONS {
+                if open.fetch_add(1, Relaxed) >= most {
                     open.fetch_sub(1, Relaxed);
                     continue;
                 }
--- a/src/runtime/service.rs
+++ b/src/runtime/service.rs
@@ -1,7 +1,7 @@
 //! One controller node: everything that its threads share, and how they are started and stopped.
 
 use super::budget::{Bucket, Turns};
-use super::duties::{self, BeatReply, Event, Outlets, Relayed};
+use super::duties::{self, BeatReply, Event, Outlets};
 use super::elector::{self, Sign};
 use super::metrics::Meter;
 use super::stop::Stop;
@@ -9,9 +9,10 @@
 use super::workers::Workers;
 use crate::net::agent;
 use crate::net::cloud::Cloud;
-use crate::net::front;
+use crate::net::front::{self, problem};
 use crate::net::http::Client;
-use crate::net::peer::Peer;
+use crate::net::listen;
+use crate::net::peer::{Ask, Peer, Reply};
 use crate::net::store::{Budgets, Store};
 use crate::net::wire::{self, BeatAnswer, Elsewhere, WireDirective, WireReport};
 use crate::settings::Settings;
@@ -32,8 +33,8 @@
     pub starts: Meter,
 }
 
-/// Frames of reports under way to the leader at a time.
-const RELAYS: usize = 2;
+/// How long a frame of reports may take to the leader and back: a worker waits 4 s.
+const RELAY_LIMIT: Duration = Duration::from_millis(2500);
 
 pub struct Shared {
     pub settings: Settings,
@@ -51,7 +52,6 @@
     pub agent: ureq::Agent,
     pub workers: Workers,
     pub turns: Turns,
-    relays: Sender<Relayed>,
 }
 
 impl Shared {
@@ -96,46 +96,61 @@
         answers
     }
 
-    /// A report at any node. The leader decides; a follower relays, so that the work of reading and
-    /// answering is shared. A node with far more workers than its part sends some to another.
-    pub fn beat(&self, from: Option<IpAddr>, body: &[u8]) -> (u16, Vec<u8>) {
-        let now = Instant::now();
+    /// Reports at any node, answered in their order. The leader decides; a follower relays, so that
+    /// the work of reading and answering is shared. A node with far more workers than its part sends
+    /// some to another.
+    pub fn beats(&self, reports: Vec<(IpAddr, Vec<u8>)>, now: Instant) -> Vec<(u16, Vec<u8>)> {
         let role = self.view.read().role.clone();
         let leader = match role {
             RoleView::Leader(_) => None,
-            RoleView::Follower(None) => return problem(503, "no leader"),
-            RoleView::Follower(Some(l)) if l == self.settings.member => {
-                return problem(503, "no leader")
+            RoleView::Follower(Some(l)) if l != self.settings.member => Some(l),
+            RoleView::Follower(_) => {
+                let none = |_| problem(503, "no leader");
+                return reports.iter().map(none).collect();
             }
-            RoleView::Follower(Some(l)) => Some(l),
         };
-        if let Some(ip) = from {
+        let peers = self.view.live_peers(now);
+        let own = (self.settings.member.as_str(), leader.as_deref());
+        let mut answers = Vec::with_capacity(reports.len());
+        let mut places = Vec::with_capacity(reports.len());
+        let mut bodies = Vec::with_capacity(reports.len());
+        let mut senders = Vec::with_capacity(reports.len());
+        for (n, (ip, body)) in reports.into_iter().enumerate() {
             self.workers.saw(ip, now);
-            let peers = self.view.live_peers(now);
-            let own = (self.settings.member.as_str(), leader.as_deref());
-            if let Some(to) = self.workers.elsewhere(ip, own, &peers, now) {
-                return elsewhere(to);
+            match self.workers.elsewhere(ip, own, &peers, now) {
+                Some(to) => answers.push(elsewhere(to)),
+                None => {
+                    answers.push(problem(503, "busy"));
+                    places.push(n);
+                    bodies.push(body);
+                    senders.push(ip);
+                }
             }
         }
+        if bodies.is_empty() {
+            return answers;
+        }
         let Some(leader) = leader else {
-            let mut answers = self.local_beats(&[body.to_vec()]);
-            return answers.pop().unwrap_or_else(|| problem(503, "busy"));
-        };
-        let (reply, answer) = bounded(1);
-        let relayed = Relayed {
-            body: body.to_vec(),
-            reply,
+            for (n, a) in places.into_iter().zip(self.local_beats(&bodies)) {
+                answers[n] = a;
+            }
+            return answers;
         };
-        if self.relays.try_send(relayed).is_ok() {
-            let limit = Duration::from_millis(3500);
-            if let Ok(Some(a)) = answer.recv_timeout(limit) {
-                return a;
+        let peer = self.peers.iter().find(|p| p.member == leader);
+        let told = match peer.map(|p| p.ask(&Ask::Beats(bodies), RELAY_LIMIT)) {
+            Some(Ok(Reply::Beats(told))) if told.len() == places.len() => told,
+            _ => {
+                // The workers may reach the leader where we do not.
+                for ip in senders {
+                    self.workers.lost(ip);
+                }
+                vec![elsewhere(leader); places.len()]
             }
+        };
+        for (n, a) in places.into_iter().zip(told) {
+            answers[n] = a;
         }
-        if let Some(ip) = from {
-            self.workers.lost(ip);
-        }
-        elsewhere(leader)
+        answers
     }
 }
 
@@ -146,13 +161,6 @@
     (421, wire::encode(&answer))
 }
 
-pub fn problem(status: u16, error: &str) -> (u16, Vec<u8>) {
-    let body = wire::Problem {
-        error: error.to_owned(),
-    };
-    (status, wire::encode(&body))
-}
-
 /// A running node. Dropping it leaves the threads to the process; `stop` ends them in order.
 pub struct Service {
     pub shared: Arc<Shared>,
@@ -162,7 +170,7 @@
 impl Service {
     pub fn start(settings: Settings) -> std::io::Result<Service> {
         let now = Instant::now();
-        let front_listener = front::bind(settings.front)?;
+        let front_listener = listen::bind(settings.front)?;
         let peer_listener = TcpListener::bind(settings.peer_bind)?;
         let (rps, write_rps) = (settings.state_rps, settings.state_write_rps);
         let budgets = Budgets::new(rps, write_rps, settings.nodes, now);
@@ -186,9 +194,8 @@
             .map(|s| Arc::new(Peer::new(&s.member, s.address)))
             .collect();
         let agents = settings.operations.agents;
-        let sockets = settings.quota.sockets;
+        let sockets = settings.sockets();
         let settings_report = settings.params.report;
-        let (relays, relay_queue) = bounded(256);
         let shared = Arc::new(Shared {
             settings,
             meters,
@@ -200,10 +207,9 @@
             peers,
             stop: Stop::new(),
             wake,
-            agent: agent::client(sockets / 4),
+            agent: agent::client(sockets.workers),
             workers: Workers::new(settings_report),
             turns: Turns::default(),
-            relays,
         });
         let mut threads = Vec::new();
         let mut spawn = |name: &str, f: Box<dyn FnOnce() + Send>| -> std::io::Result<()> {
@@ -242,10 +248,6 @@
             let send = move || duties::send_commands(&s, &s.agent, &q);
             spawn("agent", Box::new(send))?;
         }
-        for _ in 0..RELAYS {
-            let (s, q) = (shared.clone(), relay_queue.clone());
-            spawn("relay", Box::new(move || duties::relay(&s, &q)))?;
-        }
         let s = shared.clone();
         spawn(
             "watch",
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -46,6 +46,26 @@
     pub sockets: usize,
 }
 
+/// How the sockets that a process may have are shared out.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Sockets {
+    /// Connections from workers, users and health checks.
+    pub front: usize,
+    /// Kept open to workers, for commands.
+    pub workers: usize,
+    /// Of peers.
+    pub peers: usize,
+}
+
+/// One part in so many of the sockets is kept open to workers: a command then costs no new
+/// connection. Reports come to us on connections of the workers' own.
+const WORKERS_PART: usize = 8;
+/// Connections from peers: each keeps a few for each of its threads that ask us.
+const PEER_SOCKETS: usize = 64;
+/// The state service, its watches, the cloud, the listeners, what we keep open to peers.
+const OWN_SOCKETS: usize = 80;
+const LEAST_SOCKETS: usize = 256;
+
 /// Operators' settings outside the core.
 #[derive(Clone, Debug)]
 pub struct Operations {
@@ -169,6 +189,20 @@
 }
 
 impl Settings {
+    /// Together they stay within the quota, commands under way included.
+    pub fn sockets(&self) -> Sockets {
+        let all = self.quota.sockets;
+        let workers = all / WORKERS_PART;
+        // Followers deliver as many commands at a time as the leader's senders send.
+        let under_way = self.operations.agents + self.operations.handlers;
+        let taken = workers + PEER_SOCKETS + OWN_SOCKETS + under_way;
+        Sockets {
+            front: all.saturating_sub(taken).max(16),
+            workers,
+            peers: PEER_SOCKETS,
+        }
+    }
+
     pub fn load(path: &Path) -> Result<Settings, SettingsError> {
         let text = read(path)?;
         Settings::parse(&path.display().to_string(), &text)
@@ -210,8 +244,9 @@
         if d.state.txn_ops < 4 {
             return Err(bad("deployment.state.txn_ops", "must be at least 4"));
         }
-        if d.quota.max_sockets < 32 {
-            return Err(bad("deployment.quota.max_sockets", "must be at least 32"));
+        if d.quota.max_sockets < LEAST_SOCKETS {
+            let least = format!("must be at least {LEAST_SOCKETS}");
+            return Err(bad("deployment.quota.max_sockets", &least));
         }
         let mut teams = Vec::new();
         for t in &d.teams {
