A leader in doubt returns no machines, and one that hears no worker resigns

Ruled out: processor share, the state service's rates, threads. Now: returns need a lease that certainly lasts; silence is counted from when the process last stood still; a deaf leader resigns; nothing is rented while most machines are unheard; idle machines are returned together, so that returns leave the cloud's rate to rentals.

--- a/src/core/capacity.rs
+++ b/src/core/capacity.rs
@@ -14,6 +14,10 @@
 /// The cloud takes no more in one rental, and no more names in one return.
 const MOST_RENTED: u32 = 50;
 const MOST_RETURNED: usize = 100;
+/// Idle machines wait this long for others to go with: the cloud's rate is for rentals too.
+const RETURN_PAUSE: Duration = Duration::from_secs(2);
+/// This many silent machines are no accident of each one's own.
+const MANY: usize = 3;
 /// After a refusal, the same kind is not asked for again for this long.
 const REFUSED_PAUSE: Duration = Duration::from_secs(12);
 
@@ -193,10 +197,25 @@
         crowds
     }
 
+    /// How many machines are up, and how many of them are silent or not heard of in this term.
+    fn unheard(&self, now: Instant) -> (usize, usize) {
+        let up = |h: &&Host| h.booting.is_none() && !h.returning;
+        let limit = self.params.report.mul_f64(2.5);
+        let quiet = |h: &&Host| !h.reported || now.saturating_duration_since(h.last_heard) > limit;
+        let all = self.hosts.values().filter(up).count();
+        (all, self.hosts.values().filter(up).filter(quiet).count())
+    }
+
     fn rent(&mut self, now: Instant, round: &Round) {
         if self.types.is_empty() || !self.settled(now) {
             return;
         }
+        // When most machines cannot be heard, the work that seems to lack room may have it: what is
+        // rented now would come up to find the others back. They are heard again, or given up, soon.
+        let (all, quiet) = self.unheard(now);
+        if quiet >= MANY && quiet * 2 > all {
+            return;
+        }
         let mut plan: Vec<Imagined> = Vec::new();
         // Rentals under way will take the first of the waiting.
         for r in self.capacity.rentals.values() {
@@ -883,7 +902,10 @@
             .mul_f64(p.tuning.silent_share)
             .max(p.report.mul_f64(3.5));
         let up = |h: &&Host| h.reported && !h.returning;
-        let silent = |h: &Host| now.saturating_duration_since(h.last_heard) > silent_after;
+        let silent = |h: &Host| {
+            let since = h.last_heard.max(self.awake_since);
+            now.saturating_duration_since(since) > silent_after
+        };
         // Its reports come, but for as long nothing that was answered has reached it.
         let deaf = |h: &Host| {
             let since = match h.must_show {
@@ -896,8 +918,13 @@
         let all = self.hosts.values().filter(up).count();
         let lost = |h: &&Host| silent(h) || deaf(h);
         let quiet = self.hosts.values().filter(up).filter(lost).count();
-        // When most fall silent at once, the fault is more likely on our side.
-        let ours = quiet >= 3 && quiet * 2 > all;
+        // When most fall silent at once, the fault is more likely on our side; but not for longer
+        // than their leases last.
+        let most = quiet >= MANY && quiet * 2 > all;
+        let ours = |h: &Host| {
+            let since = h.last_heard.max(self.awake_since);
+            most && now.saturating_duration_since(since) <= p.lease + p.report
+        };
         // Room for each class's headroom, on all machines that take tasks.
         let headroom = self.headroom(now);
         let mut slots: Vec<usize> = vec![0; headroom.len()];
@@ -936,11 +963,11 @@
             } else if h.eviction.is_some() && h.placed.is_empty() {
                 leaving.push((h.id.clone(), "to be taken"));
             } else if silent(h)
-                && !ours
+                && !ours(h)
                 && (h.reported || now.saturating_duration_since(h.known_since) > p.lease)
             {
                 leaving.push((h.id.clone(), "silent"));
-            } else if deaf(h) && !ours {
+            } else if deaf(h) && !ours(h) {
                 leaving.push((h.id.clone(), "nothing reaches it"));
             } else if let Some(since) = h.idle_since {
                 let keep = if h.spot {
@@ -975,18 +1002,22 @@
                 h.returning = true;
             }
         }
-        let due: Vec<HostId> = self
+        let again = |t: Instant| now.saturating_duration_since(t) > Duration::from_secs(20);
+        let mut due: Vec<&Host> = self
             .hosts
             .values()
-            .filter(|h| {
-                h.returning
-                    && h.return_sent
-                        .is_none_or(|t| now.saturating_duration_since(t) > Duration::from_secs(20))
-            })
-            .map(|h| h.id.clone())
-            .take(MOST_RETURNED)
+            .filter(|h| h.returning && h.return_sent.is_none_or(again))
+            .filter(|h| self.confirmed || h.overdue)
             .collect();
-        if !due.is_empty() {
+        // Those first whose tasks wait for the proof.
+        due.sort_by_key(|h| (!h.overdue, h.placed.is_empty()));
+        let pressing = due.first().is_some_and(|h| !h.placed.is_empty());
+        let waited = |t: Instant| now.saturating_duration_since(t) >= RETURN_PAUSE;
+        let soon = pressing || due.len() >= MOST_RETURNED || self.last_return.is_none_or(waited);
+        due.truncate(MOST_RETURNED);
+        let due: Vec<HostId> = due.iter().map(|h| h.id.clone()).collect();
+        if soon && !due.is_empty() {
+            self.last_return = Some(now);
             for id in &due {
                 if let Some(h) = self.hosts.get_mut(id) {
                     h.return_sent = Some(now);
--- a/src/core/cluster.rs
+++ b/src/core/cluster.rs
@@ -26,6 +26,10 @@
 const ROUND_SHARE: u32 = 5;
 const ROUND_LEAST: Duration = Duration::from_millis(100);
 const ROUND_MOST: Duration = Duration::from_millis(1500);
+/// What passes, beyond a worker's interval, before its report has found its way round dead nodes.
+const DEAF_MARGIN: Duration = Duration::from_secs(5);
+/// Ticks are never this far apart in a process that runs.
+const STANDSTILL: Duration = Duration::from_secs(4);
 /// Renting and returning, and what else walks all hosts or tasks, need no more than this.
 const ENDINGS_WAIT: Duration = Duration::from_millis(4000);
 const CAPACITY_EVERY: Duration = Duration::from_millis(450);
@@ -269,6 +273,8 @@
     /// Logarithm of measured over expected run time here.
     pub slowness: super::history::Average,
     pub lease_spent: bool,
+    /// A withdrawn task has been on it for too long: it goes whatever else is doubtful.
+    pub overdue: bool,
 }
 
 impl Host {
@@ -316,6 +322,7 @@
             quarantined: false,
             slowness: Default::default(),
             lease_spent: false,
+            overdue: false,
         }
     }
     /// Whether answers and commands of this term are known to reach it.
@@ -439,6 +446,14 @@
     pub(super) probes: VecDeque<(HostId, String)>,
     /// Starts of this term with their waits, for the log's summary.
     pub waits: Vec<Duration>,
+    /// When a worker's report last came, by whichever node.
+    last_beat: Option<Instant>,
+    last_tick: Option<Instant>,
+    /// Since when this process has not stood still: silence before that says nothing.
+    pub(super) awake_since: Instant,
+    /// The leadership is not in doubt.
+    pub(super) confirmed: bool,
+    pub(super) last_return: Option<Instant>,
 }
 
 impl Cluster {
@@ -486,9 +501,32 @@
             last_sweep: None,
             probes: VecDeque::new(),
             waits: Vec::new(),
+            last_beat: None,
+            last_tick: None,
+            awake_since: now,
+            confirmed: true,
+            last_return: None,
         }
     }
 
+    /// Whether this node leads for certain. While it does not, what looks silent or idle from here may
+    /// be at work for another leader.
+    pub fn confirm(&mut self, confirmed: bool) {
+        self.confirmed = confirmed;
+    }
+
+    /// No worker's report comes through any more, though there are workers: another node may hear
+    /// them. A term that never heard one first gives up the hosts that are silent.
+    pub fn is_deaf(&self, now: Instant) -> bool {
+        let (since, patience) = match self.last_beat {
+            Some(t) => (t, self.params.report.mul_f64(1.25) + DEAF_MARGIN),
+            None => (self.started, self.params.lease + self.params.report),
+        };
+        let since = since.max(self.awake_since);
+        let expected = |h: &Host| h.booting.is_none() && !h.returning;
+        now.saturating_duration_since(since) > patience && self.hosts.values().any(expected)
+    }
+
     // --- loading and jobs ---
 
     /// A live job, from the index at takeover or from the watch. Known ones are left as they are.
@@ -812,6 +850,9 @@
         if r.epoch.term() > self.term {
             return Answer::Superseded(r.epoch.term());
         }
+        if beat {
+            self.last_beat = Some(now);
+        }
         if self.tombstones.contains(&r.host) {
             return Answer::Ignore;
         }
@@ -1404,6 +1445,7 @@
         for id in hosts {
             if let Some(h) = self.hosts.get_mut(&id) {
                 h.returning = true;
+                h.overdue = true;
             }
         }
     }
@@ -1497,6 +1539,10 @@
 
     /// Everything that time alone brings about, a placement round, and what is to be sent.
     pub fn tick(&mut self, now: Instant) -> Vec<Action> {
+        let stood_still = |t: Instant| now.saturating_duration_since(t) > STANDSTILL;
+        if self.last_tick.replace(now).is_some_and(stood_still) {
+            self.awake_since = now;
+        }
         if self
             .last_sweep
             .is_none_or(|t| now.saturating_duration_since(t) >= SWEEP_EVERY)
--- a/src/core/leadership.rs
+++ b/src/core/leadership.rs
@@ -122,6 +122,18 @@
         self.backoff_until = Some(now + pause);
     }
 
+    /// Gives this term up, and leaves the next one to others for a while.
+    pub fn resign(&mut self, now: Instant, term: Term, pause: Duration) -> Step {
+        match &self.role {
+            Role::Leader { term: own, .. } if term == *own => {
+                self.role = Role::Follower { leader: None };
+                self.backoff_until = Some(now + pause);
+                Step::StepDown
+            }
+            _ => Step::Wait,
+        }
+    }
+
     pub fn renewed(&mut self, now: Instant) {
         self.last_renewal = Some(now);
     }
--- a/src/runtime/duties.rs
+++ b/src/runtime/duties.rs
@@ -98,12 +98,18 @@
         };
         let ticking = now >= next_tick;
         c.allow(shared.store.changes_left());
+        let certain = shared.view.surely_leads(c.term, now);
+        c.confirm(certain);
         let actions = if ticking { c.tick(now) } else { c.flush(now) };
         if ticking {
             let took = now.elapsed();
             next_tick = now + Duration::from_millis(150);
             shared.meters.rounds.record(took);
             c.tick_took(took);
+            // In an outage nobody could take over; and a lease that is lost anyway ends by itself.
+            if certain && c.is_deaf(now) {
+                let _ = out.signs.try_send(Sign::Deaf(c.term));
+            }
         }
         perform(shared, c, actions, now, out);
         if ticking && now >= next_publish {
@@ -424,7 +430,13 @@
         }
         let event = match order {
             CloudOrder::Rent(term, r) => {
-                let outcome = shared.cloud.rent(&r);
+                // What is rented in doubt is adopted by whoever leads.
+                let leads = shared.view.read().role == RoleView::Leader(term);
+                let outcome = if leads {
+                    shared.cloud.rent(&r)
+                } else {
+                    Rented::Unknown
+                };
                 if outcome == Rented::NoCapacity {
                     log::info!(
                         "no capacity type={} site={} spot={}",
@@ -436,7 +448,9 @@
                 Event::Rented(term, r.claim, outcome)
             }
             CloudOrder::Return(term, hosts) => {
-                let ok = shared.cloud.give_back(&hosts);
+                // One that waited through a cut must not take machines that work for a new leader.
+                let leads = shared.view.surely_leads(term, Instant::now());
+                let ok = leads && shared.cloud.give_back(&hosts);
                 Event::Returned(term, hosts, ok)
             }
         };
--- a/src/runtime/elector.rs
+++ b/src/runtime/elector.rs
@@ -20,12 +20,18 @@
 use std::time::{Duration, Instant};
 
 const CALL: Duration = Duration::from_millis(1500);
+/// Who gave the leadership up because it heard nobody takes it again only after this.
+const RESIGNED: Duration = Duration::from_secs(10);
+/// How long a node that no worker reports to leaves the leadership to others.
+const YIELD: Duration = Duration::from_millis(900);
 const WATCH_BLOCK: Duration = Duration::from_secs(5);
 
 /// What the elector hears.
 pub enum Sign {
     Leader(Option<LeaderRecord>),
     Term(Term),
+    /// The leader of this term hears no worker.
+    Deaf(Term),
 }
 
 #[derive(Deserialize)]
@@ -110,6 +116,7 @@
     let mut permit = None;
     let mut term_stop = Stop::new();
     let mut heard = false;
+    let mut vacant: Option<Instant> = None;
     while !shared.stop.stopped() {
         let mut step = match signs.recv_timeout(Duration::from_millis(250)) {
             Ok(Sign::Leader(r)) => {
@@ -117,19 +124,40 @@
                 machine.observed(Instant::now(), r)
             }
             Ok(Sign::Term(t)) => machine.term_seen(t),
+            Ok(Sign::Deaf(t)) => {
+                let step = machine.resign(Instant::now(), t, RESIGNED);
+                if let (Step::StepDown, Some(p)) = (&step, permit) {
+                    log::warn!(
+                        "no worker is heard, the leadership is given up term={}",
+                        t.0
+                    );
+                    // If this fails, the lease ends by itself.
+                    let _ = shared.store.drop_lease(p, CALL);
+                }
+                step
+            }
             Err(_) => machine.due(Instant::now()),
         };
-        // Before the first look at the leader key its absence means nothing.
-        if !heard && matches!(step, Step::Campaign { .. }) {
-            step = Step::Wait;
+        if matches!(step, Step::Campaign { .. }) {
+            let now = Instant::now();
+            // Before the first look at the leader key its absence means nothing. And who hears no
+            // worker lets those go first who may.
+            let since = *vacant.get_or_insert(now);
+            let first = now.saturating_duration_since(since) >= YIELD || shared.workers.any(now);
+            if !heard || !first {
+                step = Step::Wait;
+            }
+        } else {
+            vacant = None;
         }
+        let asked = Instant::now();
         match step {
             Step::Wait => {}
             Step::Renew => {
-                let asked = Instant::now();
                 match permit.map(|p| shared.store.extend(p, life / 4)) {
                     Some(Ok(())) => {
                         shared.view.store_answered(true, Instant::now());
+                        shared.view.lease_lasts(asked + life);
                         machine.renewed(asked)
                     }
                     Some(Err(StoreError::NoLease)) | None => {
@@ -157,6 +185,7 @@
             Step::Campaign { stamp } => match campaign(shared, boot, stamp) {
                 Ok(Some((term, leader_stamp, lease))) => {
                     let now = Instant::now();
+                    shared.view.lease_lasts(asked + life);
                     machine.won(now, term, leader_stamp);
                     permit = Some(lease);
                     term_stop = Stop::new();
--- a/src/runtime/service.rs
+++ b/src/runtime/service.rs
@@ -100,6 +100,9 @@
     /// the work of reading and answering is shared. A node with far more workers than its part sends
     /// some to another.
     pub fn beats(&self, reports: Vec<(IpAddr, Vec<u8>)>, now: Instant) -> Vec<(u16, Vec<u8>)> {
+        for (ip, _) in &reports {
+            self.workers.saw(*ip, now);
+        }
         let role = self.view.read().role.clone();
         let leader = match role {
             RoleView::Leader(_) => None,
@@ -116,7 +119,6 @@
         let mut bodies = Vec::with_capacity(reports.len());
         let mut senders = Vec::with_capacity(reports.len());
         for (n, (ip, body)) in reports.into_iter().enumerate() {
-            self.workers.saw(ip, now);
             match self.workers.elsewhere(ip, own, &peers, now) {
                 Some(to) => answers.push(elsewhere(to)),
                 None => {
--- a/src/runtime/view.rs
+++ b/src/runtime/view.rs
@@ -29,6 +29,8 @@
     finals: HashMap<Uid, Verdict>,
     final_order: VecDeque<Uid>,
     store_failing: Option<Instant>,
+    /// Until when nobody else can have taken the leadership that this node has.
+    leads_until: Option<Instant>,
     peers: HashMap<String, PeerWord>,
     pub live_jobs: usize,
 }
@@ -58,6 +60,7 @@
                 final_order: VecDeque::new(),
                 // Unproven until the first answer.
                 store_failing: Some(now),
+                leads_until: None,
                 peers: HashMap::new(),
                 live_jobs: 0,
             }),
@@ -98,6 +101,17 @@
         }
     }
 
+    pub fn lease_lasts(&self, until: Instant) {
+        self.write().leads_until = Some(until);
+    }
+
+    /// Whether this node leads in this term for certain: its lease, counted from when its renewal was
+    /// asked for, has not run out. A process that stood still, or was cut off, finds out here first.
+    pub fn surely_leads(&self, term: Term, now: Instant) -> bool {
+        let i = self.read();
+        i.role == RoleView::Leader(term) && i.leads_until.is_some_and(|t| now < t)
+    }
+
     pub fn store_ok(&self, now: Instant) -> bool {
         self.read()
             .store_failing
--- a/src/runtime/workers.rs
+++ b/src/runtime/workers.rs
@@ -52,6 +52,10 @@
         self.lock().seen.remove(&ip);
     }
 
+    pub fn any(&self, now: Instant) -> bool {
+        self.count(now) > 0
+    }
+
     pub fn count(&self, now: Instant) -> u32 {
         let mut i = self.lock();
         let fresh = self.report.mul_f64(2.5);
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -622,6 +622,13 @@
     l.lost(now, secs(1));
     assert_eq!(l.due(now), Step::Wait);
     assert_eq!(l.due(now + secs(2)), Step::Campaign { stamp: 0 });
+    // Given up, a term is left to others for a while; a word about an earlier term changes nothing.
+    let mut l = Leadership::new("m0", 1, renew);
+    l.won(now, Term(4), 40);
+    assert_eq!(l.resign(now, Term(3), secs(9)), Step::Wait);
+    assert_eq!(l.resign(now, Term(4), secs(9)), Step::StepDown);
+    assert_eq!(l.observed(now, None), Step::Wait);
+    assert_eq!(l.due(now + secs(10)), Step::Campaign { stamp: 0 });
 }
 
 #[test]
--- a/tests/troubles.rs
+++ b/tests/troubles.rs
@@ -478,3 +478,111 @@
     assert_eq!(w.elsewhere(ip(1), ("a", None), &[], start), None, "no peer");
     assert_eq!(w.count(start + secs(60)), 0, "gone since");
 }
+
+/// Hosts that a leader's actions return.
+fn given_back(actions: &[Action]) -> Vec<HostId> {
+    let hosts = |a: &Action| match a {
+        Action::Return { hosts } => hosts.clone(),
+        _ => Vec::new(),
+    };
+    actions.iter().flat_map(hosts).collect()
+}
+
+/// Guards against a leader that lost the network, took its machines for silent, and had the returns
+/// carried out when it was back: by then they worked for its successor.
+#[test]
+fn a_leader_in_doubt_returns_nothing_but_what_holds_withdrawn_tasks() {
+    for withdrawn in [false, true] {
+        let mut w = World::new();
+        w.beat("i-1", 1, vec![]);
+        w.beat("i-2", 1, vec![]);
+        w.job(spec("wk-000001", 1, 8.0));
+        let l = launches(&w.settle());
+        let (on, a) = (l[0].0.clone(), l[0].2);
+        let tasks = vec![shown("wk-000001", 0, a, TaskPhase::Running)];
+        w.beat(&on.0, 2, tasks);
+        w.c.confirm(false);
+        if withdrawn {
+            w.c.on_withdrawn(w.now, &"wk-000001".into());
+        }
+        let gone: Vec<HostId> = (0..13).flat_map(|_| given_back(&w.settle())).collect();
+        let expected = if withdrawn { vec![on] } else { vec![] };
+        assert_eq!(gone, expected, "withdrawn {withdrawn}");
+        // Once it is the leader for certain, what is still silent goes.
+        w.c.confirm(true);
+        assert_eq!(given_back(&w.settle()).len(), 2 - gone.len());
+    }
+}
+
+/// Guards against a leader that keeps the leadership while no report comes through to it.
+#[test]
+fn who_hears_no_worker_says_so() {
+    // Whether a machine reported, whether there is one, and from when on it is missed.
+    let cases = [
+        ("heard once", true, true, 9..=9),
+        ("never heard", false, true, 34..=34),
+        ("no machines", false, false, 0..=0),
+    ];
+    for (name, heard, any, from) in cases {
+        let mut w = World::new();
+        if heard {
+            w.beat("i-1", 1, vec![]);
+        } else if any {
+            w.job(spec("wk-000001", 1, 4.0));
+            let value = ChunkValue {
+                done: 0,
+                active: vec![(0, Attempt(7), host())],
+            };
+            w.c.load_chunk(w.now, &"wk-000001".into(), 0, value, 90);
+        }
+        let first = (0..60).find(|s| w.c.is_deaf(w.now + secs(*s)));
+        assert_eq!(first, any.then_some(*from.start()), "{name}");
+    }
+}
+
+/// Guards against a process that stood still and takes its own silence for the machines'.
+#[test]
+fn who_stood_still_does_not_take_the_machines_for_silent() {
+    for still in [false, true] {
+        let mut w = World::new();
+        w.beat("i-1", 1, vec![]);
+        w.job(spec("wk-000001", 1, 8.0));
+        let a = launches(&w.settle())[0].2;
+        let tasks = vec![shown("wk-000001", 0, a, TaskPhase::Running)];
+        w.beat("i-1", 2, tasks);
+        let mut gone = Vec::new();
+        for _ in 0..12 {
+            w.pass(secs(2));
+            if !still {
+                gone.extend(given_back(&w.settle()));
+            }
+        }
+        gone.extend(given_back(&w.settle()));
+        assert_eq!(gone.is_empty(), still, "stood still: {still}");
+        assert!(!still || !w.c.is_deaf(w.now));
+    }
+}
+
+/// Guards against a new leader that rents a second fleet before it has heard the first one.
+#[test]
+fn nothing_is_rented_while_most_machines_are_unheard() {
+    for (quiet, rents) in [(2, true), (6, false)] {
+        let types = vec![host_type("m8", 8.0), host_type("large", 8.0)];
+        let mut w = World::with(params(), types);
+        let names: Vec<String> = (0..8).map(|n| format!("i-{n}")).collect();
+        for n in &names {
+            w.beat(n, 1, vec![]);
+        }
+        w.pass(secs(8));
+        for n in &names[quiet..] {
+            w.beat(n, 2, vec![]);
+        }
+        // None of the eight would do.
+        let mut job = spec("wk-000001", 2, 8.0);
+        job.host_types = Some(vec!["large".into()]);
+        w.job(job);
+        let rented = w.settle();
+        let rented = rented.iter().any(|a| matches!(a, Action::Rent { .. }));
+        assert_eq!(rented, rents, "{quiet} of 8 quiet");
+    }
+}
