--- a/src/runtime/service.rs
+++ b/src/runtime/service.rs
@@ -178,7 +178,9 @@
         let budgets = Budgets::new(rps, write_rps, settings.nodes, now);
         let connect = Duration::from_millis(800);
         let meters = Meters::default();
-        let client = Client::new(settings.state, connect, 16, meters.store.clone());
+        // One for each thread that asks for a user, and for the leader's own duties.
+        let idle = settings.operations.handlers + 8;
+        let client = Client::new(settings.state, connect, idle, meters.store.clone());
         let store = Store::new(client, budgets);
         let patience = Duration::from_secs(2);
         let client = Client::new(settings.cloud, patience, 2, meters.cloud.clone());
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -64,7 +64,18 @@
 const PEER_SOCKETS: usize = 64;
 /// The state service, its watches, the cloud, the listeners, what we keep open to peers.
 const OWN_SOCKETS: usize = 80;
+/// For workers, users and health checks at least.
+const LEAST_FRONT: usize = 32;
 const LEAST_SOCKETS: usize = 256;
+/// A process with its threads and no work takes some 8 MB.
+const LEAST_RAM_MB: f64 = 32.0;
+/// A leader renews its lease and watches two prefixes within its part; every node asks for its users.
+const LEAST_RPS: f64 = 10.0;
+/// A verdict takes two changes of the leader's part, an acceptance two of a node's.
+const LEAST_WRITE_RPS: f64 = 6.0;
+/// A job, or 64 tasks' intents, fit into one value.
+const LEAST_VALUE_KB: f64 = 6.0;
+const LEAST_CLOUD_RPS: f64 = 0.1;
 
 /// Operators' settings outside the core.
 #[derive(Clone, Debug)]
@@ -79,7 +90,7 @@
     fn default() -> Self {
         Operations {
             leader_lease: Duration::from_millis(3000),
-            handlers: 8,
+            handlers: 24,
             agents: 12,
             metrics_every: Duration::from_secs(60),
         }
@@ -186,6 +197,7 @@
 #[derive(Deserialize)]
 struct FileQuota {
     max_sockets: usize,
+    ram_mb: Option<f64>,
 }
 
 impl Settings {
@@ -197,7 +209,7 @@
         let under_way = self.operations.agents + self.operations.handlers;
         let taken = workers + PEER_SOCKETS + OWN_SOCKETS + under_way;
         Sockets {
-            front: all.saturating_sub(taken).max(16),
+            front: all.saturating_sub(taken).max(LEAST_FRONT),
             workers,
             peers: PEER_SOCKETS,
         }
@@ -244,10 +256,33 @@
         if d.state.txn_ops < 4 {
             return Err(bad("deployment.state.txn_ops", "must be at least 4"));
         }
-        if d.quota.max_sockets < LEAST_SOCKETS {
-            let least = format!("must be at least {LEAST_SOCKETS}");
-            return Err(bad("deployment.quota.max_sockets", &least));
-        }
+        let least = |field: &str, x: f64, least: f64| {
+            if x >= least {
+                Ok(())
+            } else {
+                Err(bad(
+                    field,
+                    &format!("{x} is below {least}, the least to run with"),
+                ))
+            }
+        };
+        let (state, cloud, quota) = (&d.state, &d.cloud, &d.quota);
+        let sockets = quota.max_sockets as f64;
+        least(
+            "deployment.quota.max_sockets",
+            sockets,
+            LEAST_SOCKETS as f64,
+        )?;
+        let ram = quota.ram_mb.unwrap_or(LEAST_RAM_MB);
+        least("deployment.quota.ram_mb", ram, LEAST_RAM_MB)?;
+        least("deployment.state.rps", state.rps, LEAST_RPS)?;
+        least(
+            "deployment.state.write_rps",
+            state.write_rps,
+            LEAST_WRITE_RPS,
+        )?;
+        least("deployment.state.value_kb", state.value_kb, LEAST_VALUE_KB)?;
+        least("deployment.cloud.rps", cloud.rps, LEAST_CLOUD_RPS)?;
         let mut teams = Vec::new();
         for t in &d.teams {
             let amount = |field: &str, x: f64| {
@@ -288,6 +323,11 @@
             })
             .collect();
         let w = &d.workers;
+        // Reports come up to a quarter late, and one may have to be repeated.
+        if w.lease_s < w.report_s * 2.5 {
+            let problem = format!("{} is below 2.5 times report_s", w.lease_s);
+            return Err(bad("deployment.workers.lease_s", &problem));
+        }
         Ok(Settings {
             member: f.member,
             site: Site(f.domain),
@@ -363,6 +403,13 @@
             };
             self.set(name, x).map_err(|p| fail(line, p))?;
         }
+        let threads = self.operations.agents + self.operations.handlers;
+        let own = PEER_SOCKETS + OWN_SOCKETS + threads + LEAST_FRONT;
+        if self.quota.sockets / WORKERS_PART + own > self.quota.sockets {
+            let all = self.quota.sockets;
+            let problem = format!("agents and handlers: {threads} are too many for {all} sockets");
+            return Err(fail(1, problem));
+        }
         Ok(())
     }
 
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -31,6 +31,14 @@
         ("state = \"127.0.0.1:2379\"", "", "state"),
         ("max_sockets = 3000", "max_sockets = 1", "max_sockets"),
         ("member = \"worker-0\"", "member = \"\"", "member"),
+        // Too small to run with.
+        ("max_sockets = 3000", "max_sockets = 255", "max_sockets"),
+        ("ram_mb = 200.0", "ram_mb = 20.0", "ram_mb"),
+        ("rps = 200.0", "rps = 5.0", "state.rps"),
+        ("write_rps = 60.0", "write_rps = 2.0", "write_rps"),
+        ("value_kb = 16.0", "value_kb = 1.0", "value_kb"),
+        ("rps = 3.0", "rps = 0.01", "cloud.rps"),
+        ("lease_s = 30.0", "lease_s = 7.0", "lease_s"),
     ];
     for (old, new, name) in cases {
         let text = NODE.replacen(old, new, 1);
@@ -40,6 +48,23 @@
     }
 }
 
+/// Guards against buffers and pools that together pass the sockets that a process may have.
+#[test]
+fn sockets_are_shared_out_within_the_quota() {
+    for sockets in [256, 1000, 3133, 3939, 60_000] {
+        let text = NODE.replace("max_sockets = 3000", &format!("max_sockets = {sockets}"));
+        let s = Settings::parse("node.toml", &text).unwrap();
+        let parts = s.sockets();
+        let o = &s.operations;
+        let all = parts.front + parts.workers + parts.peers + o.agents + o.handlers;
+        assert!(all < sockets, "{sockets}: {parts:?}");
+        assert!(
+            sockets < 3000 || parts.front * 10 > sockets * 7,
+            "{parts:?}"
+        );
+    }
+}
+
 #[test]
 fn unknown_platform_fields_are_ignored() {
     let text = NODE.replace("count = 3", "count = 3\nnovelty = [1, 2]");
@@ -56,10 +81,17 @@
         ("(cypressgap\n\n (handlers 0))", "line 3", "handlers"),
         ("(cypressgap (handlers many))", "line 1", "handlers"),
         ("(cypressgap (handlers))", "line 1", "NAME VALUE"),
+        (
+            "(cypressgap (handlers 255))",
+            "line 1",
+            "too many for 300 sockets",
+        ),
         ("(other (handlers 4))", "line 1", "cypressgap"),
         ("(cypressgap (handlers 4)", "line 1", "S-expression"),
     ];
+    s.quota.sockets = 300;
     for (text, line, problem) in cases {
+        let mut s = s.clone();
         let error = s.parse_operators("o.lisp", text).unwrap_err().to_string();
         assert!(
             error.contains(line) && error.contains(problem),
