--- a/src/core/capacity.rs
+++ b/src/core/capacity.rs
@@ -12,55 +12,41 @@
 use std::time::{Duration, Instant};
 
 /// The cloud takes no more in one rental, and no more names in one return.
-const MOST_RENTED: u32 = 50;
-const MOST_RETURNED: usize = 100;
-/// Idle machines wait this long for others to go with: the cloud's rate is for rentals too.
-const RETURN_PAUSE: Duration = Duration::from_secs(2);
+pub(super) const MOST_RENTED: u32 = 50;
 /// This many silent machines are no accident of each one's own.
-const MANY: usize = 3;
+pub(super) const MANY: usize = 3;
 /// After a refusal, the same kind is not asked for again for this long.
-const REFUSED_PAUSE: Duration = Duration::from_secs(12);
+pub(super) const REFUSED_PAUSE: Duration = Duration::from_secs(12);
 
-/// Work that waits for longer than this keeps a machine from being emptied.
-const KEEP_WAIT: Duration = Duration::from_secs(5);
 /// Work that waits for more than this share of a boot shows that room is short.
-const RENT_SHARE: f64 = 0.7;
+pub(super) const RENT_SHARE: f64 = 0.7;
 /// Waits beyond a boot that are not worth a machine.
-const RENT_MARGIN: Duration = Duration::from_secs(3);
+pub(super) const RENT_MARGIN: Duration = Duration::from_secs(3);
 
 /// A machine that costs this much more by the CPU than the cheapest allowed one is dear.
-const DEAR: f64 = 1.5;
+pub(super) const DEAR: f64 = 1.5;
 /// How long work must wait before a dear machine is rented for it, unless that saves its deadline.
-const DEAR_PATIENCE: Duration = Duration::from_secs(90);
+pub(super) const DEAR_PATIENCE: Duration = Duration::from_secs(90);
 /// Jobs of a class that its typical size is taken from.
-const RECENT_JOBS: usize = 20;
+pub(super) const RECENT_JOBS: usize = 20;
 /// A class is quiet after this many times the usual gap between its jobs, and this long at least.
-const QUIET_GAPS: u32 = 5;
-const QUIET_LEAST: Duration = Duration::from_secs(40);
+pub(super) const QUIET_GAPS: u32 = 5;
+pub(super) const QUIET_LEAST: Duration = Duration::from_secs(40);
 /// After a refusal, no cheaper stand-in is looked for for this long.
-const REPLACE_PAUSE: Duration = Duration::from_secs(60);
+pub(super) const REPLACE_PAUSE: Duration = Duration::from_secs(60);
 /// Stand-ins on their way at a time, or this part of the ordinary machines.
-const REPLACING: u32 = 3;
-const REPLACING_PART: u32 = 6;
+pub(super) const REPLACING: u32 = 3;
 /// Rentals asked for and not answered at a time. More would only queue for the cloud's rate, each for
 /// the few machines that were missing when it was asked for.
-const MOST_RENTALS: usize = 3;
-
-/// A machine is thinly used below this share. One in so many is emptied at a time.
-const THIN: f64 = 0.55;
-const MOVING_PART: usize = 12;
-/// Tasks move that have run for this long, so that their start counts, and have this much left
-/// beyond saving and starting again.
-const MOVE_RAN: Duration = Duration::from_secs(31);
-const MOVE_REST: Duration = Duration::from_secs(20);
+pub(super) const MOST_RENTALS: usize = 3;
 
 /// Hosts asked for their reports in one tick.
-const PROBES: usize = 24;
+pub(super) const PROBES: usize = 24;
 
-type Offer = (TypeName, Site, bool);
+pub(super) type Offer = (TypeName, Site, bool);
 
 #[derive(Clone, Debug)]
-struct Rental {
+pub(super) struct Rental {
     offer: Offer,
     number: u32,
     sent: bool,
@@ -69,19 +55,19 @@
 
 #[derive(Debug, Default)]
 pub struct Capacity {
-    claims: u64,
-    rentals: BTreeMap<String, Rental>,
-    refused: HashMap<Offer, (Instant, u32)>,
-    boots: HashMap<TypeName, Average>,
+    pub(super) claims: u64,
+    pub(super) rentals: BTreeMap<String, Rental>,
+    pub(super) refused: HashMap<Offer, (Instant, u32)>,
+    pub(super) boots: HashMap<TypeName, Average>,
     /// Of each class, the latest jobs: when they came, their tasks, what a task takes.
-    recent: HashMap<String, VecDeque<(Instant, u32, Need)>>,
+    pub(super) recent: HashMap<String, VecDeque<(Instant, u32, Need)>>,
     /// Spot machines rented to take an ordinary one's place, by type.
-    replacing: HashMap<TypeName, u32>,
+    pub(super) replacing: HashMap<TypeName, u32>,
     /// Ordinary machines that may be drained now, by type.
-    replaced: HashMap<TypeName, u32>,
-    replace_after: Option<Instant>,
+    pub(super) replaced: HashMap<TypeName, u32>,
+    pub(super) replace_after: Option<Instant>,
     /// The cloud's list was read in this term.
-    listed: bool,
+    pub(super) listed: bool,
 }
 
 #[derive(Clone, Debug, PartialEq)]
@@ -120,7 +106,7 @@
     }
     /// What a class's jobs take: a size that four in five stay below, and a task's mean need.
     /// None once the class has been quiet for far longer than between its jobs before.
-    fn typical(&self, now: Instant, class: &str) -> Option<(u32, Need)> {
+    pub(super) fn typical(&self, now: Instant, class: &str) -> Option<(u32, Need)> {
         let recent = self.recent.get(class)?;
         let first = recent.iter().map(|r| r.0).min()?;
         let last = recent.iter().map(|r| r.0).max()?;
@@ -138,7 +124,7 @@
         }
         Some((size, need.times(1.0 / recent.len() as f64)))
     }
-    fn pending(&self) -> u32 {
+    pub(super) fn pending(&self) -> u32 {
         self.rentals.values().map(|r| r.number).sum()
     }
 }
@@ -175,7 +161,7 @@
     }
 
     /// How long a job can still wait without missing what its users were promised.
-    fn slack(&self, now: Instant, job: &Job, est: Duration) -> Option<Duration> {
+    pub(super) fn slack(&self, now: Instant, job: &Job, est: Duration) -> Option<Duration> {
         let elapsed = now.saturating_duration_since(job.arrived);
         let finish = self.promised_finish(job)?;
         Some(finish.saturating_sub(elapsed).saturating_sub(est))
@@ -184,7 +170,7 @@
     // --- renting ---
 
     /// Machines by zone, for spreading rentals.
-    fn crowds(&self) -> HashMap<Site, usize> {
+    pub(super) fn crowds(&self) -> HashMap<Site, usize> {
         let mut crowds: HashMap<Site, usize> = HashMap::new();
         for h in self.hosts.values() {
             match crowds.get_mut(&h.site) {
@@ -197,16 +183,7 @@
         crowds
     }
 
-    /// How many machines are up, and how many of them are silent or not heard of in this term.
-    fn unheard(&self, now: Instant) -> (usize, usize) {
-        let up = |h: &&Host| h.booting.is_none() && !h.returning;
-        let limit = self.params.report.mul_f64(2.5);
-        let quiet = |h: &&Host| !h.reported || now.saturating_duration_since(h.last_heard) > limit;
-        let all = self.hosts.values().filter(up).count();
-        (all, self.hosts.values().filter(up).filter(quiet).count())
-    }
-
-    fn rent(&mut self, now: Instant, round: &Round) {
+    pub(super) fn rent(&mut self, now: Instant, round: &Round) {
         if self.types.is_empty() || !self.settled(now) {
             return;
         }
@@ -362,7 +339,7 @@
     }
 
     /// Tasks of each class with a start aim that must find room at once: class's typical job.
-    fn headroom(&self, now: Instant) -> Vec<(u32, Need)> {
+    pub(super) fn headroom(&self, now: Instant) -> Vec<(u32, Need)> {
         let mut seen: Vec<&str> = Vec::new();
         let mut out = Vec::new();
         for o in self.params.objectives.iter().filter(|o| o.kind == "wait") {
@@ -447,303 +424,22 @@
         }
     }
 
-    /// Ordinary machines in use are replaced by spot ones of their type where these can be had.
-    fn replace_dear(&mut self, now: Instant, round: &Round) {
-        if self.capacity.replace_after.is_none_or(|t| t <= now) && round.waiting.is_empty() {
-            let on_the_way: u32 = self.capacity.replacing.values().sum();
-            // Of each type: ordinary machines, and those of them that are in use and could move.
-            let mut kinds: BTreeMap<&TypeName, (u32, u32)> = BTreeMap::new();
-            for h in self.hosts.values() {
-                if h.spot || h.draining || h.returning || !h.reported {
-                    continue;
-                }
-                let dear = self
-                    .host_type(&h.host_type)
-                    .is_some_and(|t| t.hourly > t.low_price * DEAR);
-                let can_move = h.placed.keys().all(|t| {
-                    let job = self.jobs.get(&t.uid);
-                    job.is_none_or(|j| j.spec.preemptible)
-                });
-                let kind = kinds.entry(&h.host_type).or_default();
-                kind.0 += 1;
-                if dear && can_move && !h.placed.is_empty() {
-                    kind.1 += 1;
-                }
-            }
-            let all: u32 = kinds.values().map(|k| k.0).sum();
-            // What is free on spot machines takes the tasks over without any stand-in.
-            let room: f64 = self
-                .free_room(now)
-                .iter()
-                .filter(|(h, _)| h.spot)
-                .map(|(_, free)| free.cpus)
-                .sum();
-            let ordinary = self.hosts.values().filter(|h| !h.spot);
-            let wanted: f64 = ordinary.map(|h| h.used.cpus).sum();
-            let mut allowed = REPLACING
-                .max(all / REPLACING_PART)
-                .saturating_sub(on_the_way);
-            if room >= wanted {
-                allowed = 0;
-            }
-            let candidate = kinds.into_iter().find(|(_, k)| k.1 > 0);
-            if let Some((name, (ordinary, busy))) = candidate.filter(|_| allowed > 0) {
-                let name = name.clone();
-                let under_way = self.capacity.replacing.get(&name).copied().unwrap_or(0);
-                let sites = self.host_type(&name).map(|t| t.sites.clone());
-                let offer = sites.unwrap_or_default().into_iter().find_map(|s| {
-                    let offer = (name.clone(), s, true);
-                    (!self.is_refused(now, &offer)).then_some(offer)
-                });
-                let n = allowed
-                    .min(ordinary.saturating_sub(under_way))
-                    .min(busy)
-                    .min(MOST_RENTED);
-                match offer {
-                    Some(o) if n > 0 => {
-                        *self.capacity.replacing.entry(name).or_default() += n;
-                        self.order_rental(o, n);
-                    }
-                    _ => self.capacity.replace_after = Some(now + Duration::from_secs(10)),
-                }
-            }
-        }
-        if round.waiting.is_empty() {
-            self.drain_superfluous(now);
-        }
-        for (name, n) in std::mem::take(&mut self.capacity.replaced) {
-            let mut left = n;
-            for h in self.hosts.values_mut() {
-                if left > 0 && h.host_type == name && !h.spot && !h.draining && h.booting.is_none()
-                {
-                    log::info!("host is emptied for a cheaper one host={}", h.id);
-                    h.draining = true;
-                    left -= 1;
-                }
-            }
-        }
-    }
-
-    /// Empties the dearest ordinary machines whose tasks would find room on spot machines by now,
-    /// with the headroom left as it is.
-    fn drain_superfluous(&mut self, now: Instant) {
-        let mut room: Vec<Need> = self
-            .free_room(now)
-            .into_iter()
-            .filter(|(h, _)| h.spot)
-            .map(|(_, n)| n)
-            .collect();
-        let headroom = self.headroom(now);
-        let mut dear: Vec<(f64, &Host)> = self
-            .hosts
-            .values()
-            .filter(|h| h.reported && !h.spot && !h.draining && !h.returning)
-            // Idle ones have their own time to go: a service that has just started has no tasks.
-            .filter(|h| !h.placed.is_empty())
-            .filter_map(|h| {
-                let t = self.host_type(&h.host_type)?;
-                (t.hourly > t.low_price * DEAR).then_some((t.hourly, h))
-            })
-            .collect();
-        dear.sort_by(|a, b| b.0.total_cmp(&a.0));
-        let most = (dear.len() / REPLACING_PART as usize).max(1);
-        let mut emptied: Vec<HostId> = Vec::new();
-        for (_, h) in dear {
-            if emptied.len() >= most || room.is_empty() {
-                break;
-            }
-            let before = room.clone();
-            let moves = h.placed.iter().all(|(task, need)| {
-                let spot = self.jobs.get(&task.uid).is_none_or(|j| j.spec.preemptible);
-                match room.iter_mut().find(|n| spot && need.fits(n)) {
-                    Some(n) => {
-                        n.sub(need);
-                        true
-                    }
-                    None => false,
-                }
-            });
-            let enough = moves
-                && headroom.iter().all(|(tasks, need)| {
-                    let slots: usize = room.iter().map(|n| need.count_in(n)).sum();
-                    slots >= *tasks as usize
-                });
-            if enough {
-                emptied.push(h.id.clone());
-            } else {
-                room = before;
-                if moves {
-                    // The headroom is used up: no other would leave it either.
-                    break;
-                }
-            }
-        }
-        for id in emptied {
-            if let Some(h) = self.hosts.get_mut(&id) {
-                log::info!("host is emptied, spot machines have room host={id}");
-                h.draining = true;
-            }
-        }
-    }
-
-    /// Moves the tasks of thinly used machines together, once nothing waits: the long tasks that are
-    /// left when a burst is over would keep a machine each. Only what saves on being stopped moves,
-    /// and only where the rest of its run is worth the trouble.
-    fn consolidate(&mut self, now: Instant) {
-        let mut room: Vec<(&Host, Need, f64)> = self
-            .free_room(now)
-            .into_iter()
-            .filter_map(|(h, free)| {
-                let t = self.host_type(&h.host_type)?;
-                Some((h, free, h.used.share_of(&t.room)))
-            })
-            .collect();
-        // The fullest take; of equally full ones the cheaper.
-        let price = |h: &Host| {
-            let t = self.host_type(&h.host_type);
-            t.map_or(0.0, |t| t.price(h.spot) / t.room.cpus.max(1.0))
-        };
-        room.sort_by(|a, b| {
-            b.2.total_cmp(&a.2)
-                .then(price(a.0).total_cmp(&price(b.0)))
-                .then(a.0.id.cmp(&b.0.id))
-        });
-        let headroom = self.headroom(now);
-        let moving = self.hosts.values().filter(|h| h.draining).count();
-        let mut most = (room.len() / MOVING_PART).max(1).saturating_sub(moving);
-        let mut moves: Vec<(HostId, Vec<(TaskId, Duration)>)> = Vec::new();
-        let mut last = room.len();
-        while most > 0 && last > 1 {
-            last -= 1;
-            let (h, _, used) = &room[last];
-            if *used > THIN || h.placed.is_empty() {
-                continue;
-            }
-            let Some(tasks) = self.movable(now, h) else {
-                continue;
-            };
-            let mut free: Vec<(usize, Need)> = Vec::new();
-            let fits = h.placed.values().all(|need| {
-                let here = (0..last).find(|i| {
-                    let taken = free.iter().rev().find(|f| f.0 == *i);
-                    need.fits(taken.map_or(&room[*i].1, |f| &f.1)) && room[*i].2 > 0.0
-                });
-                here.is_some_and(|i| {
-                    let taken = free.iter().rev().find(|f| f.0 == i);
-                    let mut left = taken.map_or(room[i].1, |f| f.1);
-                    left.sub(need);
-                    free.push((i, left));
-                    true
-                })
-            });
-            if !fits {
-                continue;
-            }
-            let enough = headroom.iter().all(|(tasks, need)| {
-                let slots: usize = room[..last].iter().map(|r| need.count_in(&r.1)).sum();
-                slots >= *tasks as usize + h.placed.len()
-            });
-            if !enough {
-                break;
-            }
-            moves.push((h.id.clone(), tasks));
-            for (i, left) in free {
-                room[i].1 = left;
-            }
-            room.truncate(last);
-            most -= 1;
-        }
-        for (id, tasks) in moves {
-            log::info!(
-                "host is emptied, its tasks move together host={id} tasks={}",
-                tasks.len()
-            );
-            if let Some(h) = self.hosts.get_mut(&id) {
-                h.draining = true;
-            }
-            for (t, grace) in tasks {
-                self.kill(now, &t.uid, t.index, grace);
-            }
-        }
-    }
-
-    /// The tasks of a host with the grace that each needs, when all of them can move.
-    fn movable(&self, now: Instant, h: &Host) -> Option<Vec<(TaskId, Duration)>> {
-        let mut tasks = Vec::with_capacity(h.placed.len());
-        for task in h.placed.keys() {
-            let job = self.jobs.get(&task.uid)?;
-            let a = job.active.get(&task.index)?;
-            let ran = now.saturating_duration_since(a.running_since?);
-            let rest = a.est.saturating_sub(ran);
-            let plain = job.spec.kind == JobKind::Batch && !job.spec.same_place && !job.spec.spread;
-            let worth = job.spec.snapshot * 2 + MOVE_REST;
-            if !plain || !job.spec.saves() || a.kill.is_some() || ran < MOVE_RAN || rest < worth {
-                return None;
-            }
-            tasks.push((task.clone(), job.spec.snapshot + Duration::from_secs(2)));
-        }
-        Some(tasks)
-    }
-
-    /// A machine that is being emptied is paid for in any case: while work waits, it takes some.
-    fn keep_draining(&mut self, round: &Round) {
-        let mut draining: Vec<(&Host, Need)> = Vec::new();
-        for h in self.hosts.values().filter(|h| h.draining && !h.returning) {
-            if let Some(t) = self.host_type(&h.host_type) {
-                let mut free = t.room;
-                free.sub(&h.used);
-                draining.push((h, free));
-            }
-        }
-        let mut kept: Vec<HostId> = Vec::new();
-        for w in &round.waiting {
-            if draining.is_empty() {
-                break;
-            }
-            if w.coming || w.wait.is_some_and(|t| t <= KEEP_WAIT) {
-                continue;
-            }
-            let Some(job) = self.jobs.get(&w.uid) else {
-                continue;
-            };
-            let site_of = |h: &HostId| self.hosts.get(h).map(|h| h.site.clone());
-            let mut left = w.count;
-            draining.retain(|(h, free)| {
-                let n = job.spec.need.count_in(free);
-                let takes =
-                    left > 0 && n > 0 && permits(job, &site_of, &h.host_type, &h.site, h.spot);
-                if takes {
-                    left = left.saturating_sub(n);
-                    kept.push(h.id.clone());
-                }
-                !takes
-            });
-        }
-        for id in kept {
-            if let Some(h) = self.hosts.get_mut(&id) {
-                log::info!("host is kept after all host={id}");
-                h.draining = false;
-                self.round_due = true;
-            }
-        }
-    }
-
     /// Whether this term knows what machines there are: the cloud listed them and all of them have
     /// reported, or they have had time to.
-    fn settled(&self, now: Instant) -> bool {
+    pub(super) fn settled(&self, now: Instant) -> bool {
         let quiet = |h: &Host| h.booting.is_none() && !h.reported && !h.returning;
         let all = self.capacity.listed && !self.hosts.values().any(quiet);
         all || now.saturating_duration_since(self.started) >= self.params.report.mul_f64(1.3)
     }
 
-    fn is_refused(&self, now: Instant, offer: &Offer) -> bool {
+    pub(super) fn is_refused(&self, now: Instant, offer: &Offer) -> bool {
         self.capacity
             .refused
             .get(offer)
             .is_some_and(|(until, _)| now < *until)
     }
 
-    fn order_rental(&mut self, offer: Offer, number: u32) {
+    pub(super) fn order_rental(&mut self, offer: Offer, number: u32) {
         self.capacity.claims += 1;
         // The term makes a claim unique among all nodes and lives.
         let claim = format!("t{}-{}", self.term.0, self.capacity.claims);
@@ -764,7 +460,7 @@
         );
     }
 
-    fn repeat_rentals(&mut self, now: Instant) {
+    pub(super) fn repeat_rentals(&mut self, now: Instant) {
         for (claim, r) in self.capacity.rentals.iter_mut() {
             if r.sent || r.retry_at.is_some_and(|t| now < t) {
                 continue;
@@ -821,7 +517,7 @@
         self.round_due = true;
     }
 
-    fn refuse(&mut self, now: Instant, offer: Offer) {
+    pub(super) fn refuse(&mut self, now: Instant, offer: Offer) {
         if offer.2 && self.capacity.replacing.remove(&offer.0).is_some() {
             self.capacity.replace_after = Some(now + REPLACE_PAUSE);
         }
@@ -892,156 +588,4 @@
             });
         }
     }
-
-    // --- returning ---
-
-    fn return_hosts(&mut self, now: Instant) {
-        let p = &self.params;
-        let silent_after = p
-            .lease
-            .mul_f64(p.tuning.silent_share)
-            .max(p.report.mul_f64(3.5));
-        let up = |h: &&Host| h.reported && !h.returning;
-        let silent = |h: &Host| {
-            let since = h.last_heard.max(self.awake_since);
-            now.saturating_duration_since(since) > silent_after
-        };
-        // Its reports come, but for as long nothing that was answered has reached it.
-        let deaf = |h: &Host| {
-            let since = match h.must_show {
-                Some((_, t)) => Some(t),
-                None if h.fenced || h.own => None,
-                None => Some(h.known_since),
-            };
-            h.reported && since.is_some_and(|t| now.saturating_duration_since(t) > silent_after)
-        };
-        let all = self.hosts.values().filter(up).count();
-        let lost = |h: &&Host| silent(h) || deaf(h);
-        let quiet = self.hosts.values().filter(up).filter(lost).count();
-        // When most fall silent at once, the fault is more likely on our side; but not for longer
-        // than their leases last.
-        let most = quiet >= MANY && quiet * 2 > all;
-        let ours = |h: &Host| {
-            let since = h.last_heard.max(self.awake_since);
-            most && now.saturating_duration_since(since) <= p.lease + p.report
-        };
-        // Room for each class's headroom, on all machines that take tasks.
-        let headroom = self.headroom(now);
-        let mut slots: Vec<usize> = vec![0; headroom.len()];
-        let mut own: HashMap<&HostId, Need> = HashMap::new();
-        for (h, free) in self.free_room(now) {
-            for (n, (_, need)) in slots.iter_mut().zip(&headroom) {
-                *n += need.count_in(&free);
-            }
-            own.insert(&h.id, free);
-        }
-        let mut leaving: Vec<(HostId, &str)> = Vec::new();
-        // The dearest idle machines go first.
-        let mut hosts: Vec<(f64, &Host, Option<&HostType>)> = self
-            .hosts
-            .values()
-            .filter(|h| !h.returning)
-            .map(|h| {
-                let t = self.host_type(&h.host_type);
-                let price = t.map_or(0.0, |t| t.price(h.spot) / t.room.cpus.max(1.0));
-                (price, h, t)
-            })
-            .collect();
-        hosts.sort_by(|a, b| b.0.total_cmp(&a.0));
-        for (_, h, t) in hosts {
-            if let Some(since) = h.booting {
-                let boot = t.map_or(Duration::from_secs(60), |t| t.boot);
-                if now.saturating_duration_since(since)
-                    > boot.mul_f64(4.0) + Duration::from_secs(30)
-                {
-                    leaving.push((h.id.clone(), "never came up"));
-                }
-                continue;
-            }
-            if h.quarantined {
-                leaving.push((h.id.clone(), "sick"));
-            } else if h.eviction.is_some() && h.placed.is_empty() {
-                leaving.push((h.id.clone(), "to be taken"));
-            } else if silent(h)
-                && !ours(h)
-                && (h.reported || now.saturating_duration_since(h.known_since) > p.lease)
-            {
-                leaving.push((h.id.clone(), "silent"));
-            } else if deaf(h) && !ours(h) {
-                leaving.push((h.id.clone(), "nothing reaches it"));
-            } else if let Some(since) = h.idle_since {
-                let keep = if h.spot {
-                    p.tuning.idle_spot
-                } else {
-                    p.tuning.idle_ordinary
-                };
-                let idle = now.saturating_duration_since(since) > keep;
-                if !h.reported || !h.placed.is_empty() || !(idle || h.draining) {
-                    continue;
-                }
-                let here = own.get(&h.id);
-                let left = |n: usize, need: &Need| {
-                    n.saturating_sub(here.map_or(0, |free| need.count_in(free)))
-                };
-                let enough = headroom
-                    .iter()
-                    .zip(&slots)
-                    .all(|((tasks, need), n)| left(*n, need) >= *tasks as usize);
-                if enough || h.draining {
-                    for ((_, need), n) in headroom.iter().zip(slots.iter_mut()) {
-                        *n = left(*n, need);
-                    }
-                    own.remove(&h.id);
-                    leaving.push((h.id.clone(), "idle"));
-                }
-            }
-        }
-        for (id, why) in leaving {
-            if let Some(h) = self.hosts.get_mut(&id) {
-                log::info!("returning host={id} why={why} tasks={}", h.placed.len());
-                h.returning = true;
-            }
-        }
-        let again = |t: Instant| now.saturating_duration_since(t) > Duration::from_secs(20);
-        let mut due: Vec<&Host> = self
-            .hosts
-            .values()
-            .filter(|h| h.returning && h.return_sent.is_none_or(again))
-            .filter(|h| self.confirmed || h.overdue)
-            .collect();
-        // Those first whose tasks wait for the proof.
-        due.sort_by_key(|h| (!h.overdue, h.placed.is_empty()));
-        let pressing = due.first().is_some_and(|h| !h.placed.is_empty());
-        let waited = |t: Instant| now.saturating_duration_since(t) >= RETURN_PAUSE;
-        let soon = pressing || due.len() >= MOST_RETURNED || self.last_return.is_none_or(waited);
-        due.truncate(MOST_RETURNED);
-        let due: Vec<HostId> = due.iter().map(|h| h.id.clone()).collect();
-        if soon && !due.is_empty() {
-            self.last_return = Some(now);
-            for id in &due {
-                if let Some(h) = self.hosts.get_mut(id) {
-                    h.return_sent = Some(now);
-                }
-            }
-            self.actions.push(Action::Return { hosts: due });
-        }
-    }
-
-    /// Room free now on machines that take tasks.
-    fn free_room(&self, now: Instant) -> Vec<(&Host, Need)> {
-        let mut out = Vec::new();
-        for h in self.hosts.values() {
-            let Some(t) = self.host_type(&h.host_type) else {
-                continue;
-            };
-            let fresh = now.saturating_duration_since(h.last_heard) <= self.params.report * 3;
-            let leaving = h.returning || h.quarantined || h.draining || h.eviction.is_some();
-            if h.reported && fresh && !leaving {
-                let mut free = t.room;
-                free.sub(&h.used);
-                out.push((h, free));
-            }
-        }
-        out
-    }
 }
--- /dev/null
+++ b/src/core/departures.rs
@@ -0,0 +1,181 @@
+//! Hosts and tasks that go: returned, taken back, out of their lease, withdrawn or stopped.
+
+use super::cluster::Cluster;
+use super::model::*;
+use std::collections::BTreeSet;
+use std::time::{Duration, Instant};
+
+/// Names of returned hosts that are remembered, so that late reports do not revive them.
+const TOMBSTONES: usize = 5000;
+/// Clocks drift by 0.05%; a lease counts as run out only after this much more of it, and a second.
+const DRIFT: f64 = 1.002;
+
+impl Cluster {
+    /// The cloud confirmed that these hosts and all on them are gone.
+    pub fn on_returned(&mut self, now: Instant, hosts: &[HostId]) {
+        for id in hosts {
+            self.remove_host(now, id, "returned");
+        }
+    }
+
+    pub(super) fn remove_host(&mut self, now: Instant, id: &HostId, why: &str) {
+        let Some(h) = self.hosts.get(id) else {
+            return;
+        };
+        log::info!("host leaves host={id} why={why} tasks={}", h.placed.len());
+        let tasks: Vec<TaskId> = h.placed.keys().cloned().collect();
+        for t in tasks {
+            self.gone(now, &t.uid, t.index, false);
+        }
+        self.hosts.remove(id);
+        self.urgent.remove(id);
+        if self.tombstones.insert(id.clone()) {
+            self.tombstone_order.push_back(id.clone());
+            if self.tombstone_order.len() > TOMBSTONES {
+                if let Some(old) = self.tombstone_order.pop_front() {
+                    self.tombstones.remove(&old);
+                }
+            }
+        }
+        self.round_due = true;
+    }
+
+    /// The return did not go through; it is asked for again.
+    pub fn on_return_failed(&mut self, hosts: &[HostId]) {
+        for id in hosts {
+            if let Some(h) = self.hosts.get_mut(id) {
+                h.return_sent = None;
+            }
+        }
+    }
+
+    pub fn is_tombstone(&self, id: &HostId) -> bool {
+        self.tombstones.contains(id)
+    }
+
+    /// Leases that ran out for certain. Only for hosts that this term has fenced: before that,
+    /// another controller's answers may have renewed them.
+    pub(super) fn expire_leases(&mut self, now: Instant) {
+        let spent = self.params.lease.mul_f64(DRIFT) + Duration::from_secs(1);
+        let mut gone = Vec::new();
+        for h in self.hosts.values_mut() {
+            if !h.fenced || h.lease_spent {
+                continue;
+            }
+            let Some(answer) = h.last_answer else {
+                continue;
+            };
+            if now.saturating_duration_since(answer) > spent {
+                h.lease_spent = true;
+                gone.extend(h.placed.keys().cloned());
+            }
+        }
+        for t in gone {
+            let sent = self
+                .jobs
+                .get(&t.uid)
+                .and_then(|j| j.active.get(&t.index))
+                .is_some();
+            if sent {
+                log::info!("lease ran out under task={t}");
+                self.gone(now, &t.uid, t.index, false);
+            }
+        }
+    }
+
+    /// Withdrawn tasks whose end is still unproved well before `cancel_s`: their host goes.
+    pub(super) fn overdue_withdrawals(&mut self, now: Instant) {
+        let limit = self.params.cancel.mul_f64(0.4);
+        let mut hosts = BTreeSet::new();
+        for j in self.jobs.values() {
+            let Some(since) = j.withdrawn_at else {
+                continue;
+            };
+            if now.saturating_duration_since(since) > limit {
+                hosts.extend(j.active.values().map(|a| a.host.clone()));
+            }
+        }
+        for id in hosts {
+            if let Some(h) = self.hosts.get_mut(&id) {
+                h.returning = true;
+                h.overdue = true;
+            }
+        }
+    }
+
+    /// Spot notices: tasks that can save do so in time, those that cannot finish move at once.
+    pub(super) fn evictions(&mut self, now: Instant) {
+        let mut kills = Vec::new();
+        for h in self.hosts.values() {
+            let Some(at) = h.eviction else {
+                continue;
+            };
+            let left = at.saturating_duration_since(now);
+            for t in h.placed.keys() {
+                let Some(j) = self.jobs.get(&t.uid) else {
+                    continue;
+                };
+                let Some(a) = j.active.get(&t.index) else {
+                    continue;
+                };
+                if a.kill.is_some() {
+                    continue;
+                }
+                let ran = a
+                    .running_since
+                    .map(|s| now.saturating_duration_since(s))
+                    .unwrap_or_default();
+                let rest = a.est.saturating_sub(ran);
+                if j.spec.saves() && a.running_since.is_some() {
+                    let save = j.spec.snapshot;
+                    if left <= save.mul_f64(1.3) + Duration::from_secs(2) {
+                        let grace = save.max(left.saturating_sub(Duration::from_millis(500)));
+                        kills.push((t.clone(), grace));
+                    }
+                } else if a.running_since.is_none() || rest > left.mul_f64(1.5) {
+                    kills.push((t.clone(), Duration::ZERO));
+                }
+            }
+        }
+        for (t, grace) in kills {
+            let gang = self
+                .jobs
+                .get(&t.uid)
+                .is_some_and(|j| j.spec.kind == JobKind::Gang);
+            if gang {
+                self.stop_gang(now, &t.uid, grace);
+            } else {
+                self.kill(now, &t.uid, t.index, grace);
+            }
+        }
+    }
+
+    /// An orderly stop: every member hears of it in the same moment.
+    pub(super) fn stop_gang(&mut self, now: Instant, uid: &Uid, grace: Duration) {
+        let Some(job) = self.jobs.get(uid) else {
+            return;
+        };
+        let members: Vec<u32> = job.active.keys().copied().collect();
+        for i in members {
+            self.kill(now, uid, i, grace);
+        }
+    }
+
+    /// Kills that the grace has run out for become immediate; unproved ones are sent again.
+    pub(super) fn press_kills(&mut self, now: Instant) {
+        let again = Duration::from_secs(2);
+        let mut due = Vec::new();
+        for j in self.jobs.values_mut() {
+            for a in j.active.values_mut() {
+                if let Some(k) = &mut a.kill {
+                    let passed = now.saturating_duration_since(k.since);
+                    if !k.wind_down.is_zero() && passed > k.wind_down + again {
+                        k.wind_down = Duration::ZERO;
+                        due.push(a.host.clone());
+                    }
+                }
+            }
+        }
+        self.urgent.extend(due);
+    }
+}
--- /dev/null
+++ b/src/core/emptying.rs
@@ -0,0 +1,302 @@
+//! Machines that are emptied: dear ones that cheaper ones can replace, and thinly used ones.
+
+use super::capacity::*;
+use super::cluster::{Cluster, Host};
+use super::model::*;
+use super::placement::{permits, Round};
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+/// Work that waits for longer than this keeps a machine from being emptied.
+const KEEP_WAIT: Duration = Duration::from_secs(5);
+const REPLACING_PART: u32 = 6;
+/// A machine is thinly used below this share. One in so many is emptied at a time.
+const THIN: f64 = 0.55;
+const MOVING_PART: usize = 12;
+/// Tasks move that have run for this long, so that their start counts, and have this much left
+/// beyond saving and starting again.
+const MOVE_RAN: Duration = Duration::from_secs(31);
+const MOVE_REST: Duration = Duration::from_secs(20);
+
+impl Cluster {
+    /// Ordinary machines in use are replaced by spot ones of their type where these can be had.
+    pub(super) fn replace_dear(&mut self, now: Instant, round: &Round) {
+        if self.capacity.replace_after.is_none_or(|t| t <= now) && round.waiting.is_empty() {
+            let on_the_way: u32 = self.capacity.replacing.values().sum();
+            // Of each type: ordinary machines, and those of them that are in use and could move.
+            let mut kinds: BTreeMap<&TypeName, (u32, u32)> = BTreeMap::new();
+            for h in self.hosts.values() {
+                if h.spot || h.draining || h.returning || !h.reported {
+                    continue;
+                }
+                let dear = self
+                    .host_type(&h.host_type)
+                    .is_some_and(|t| t.hourly > t.low_price * DEAR);
+                let can_move = h.placed.keys().all(|t| {
+                    let job = self.jobs.get(&t.uid);
+                    job.is_none_or(|j| j.spec.preemptible)
+                });
+                let kind = kinds.entry(&h.host_type).or_default();
+                kind.0 += 1;
+                if dear && can_move && !h.placed.is_empty() {
+                    kind.1 += 1;
+                }
+            }
+            let all: u32 = kinds.values().map(|k| k.0).sum();
+            // What is free on spot machines takes the tasks over without any stand-in.
+            let room: f64 = self
+                .free_room(now)
+                .iter()
+                .filter(|(h, _)| h.spot)
+                .map(|(_, free)| free.cpus)
+                .sum();
+            let ordinary = self.hosts.values().filter(|h| !h.spot);
+            let wanted: f64 = ordinary.map(|h| h.used.cpus).sum();
+            let mut allowed = REPLACING
+                .max(all / REPLACING_PART)
+                .saturating_sub(on_the_way);
+            if room >= wanted {
+                allowed = 0;
+            }
+            let candidate = kinds.into_iter().find(|(_, k)| k.1 > 0);
+            if let Some((name, (ordinary, busy))) = candidate.filter(|_| allowed > 0) {
+                let name = name.clone();
+                let under_way = self.capacity.replacing.get(&name).copied().unwrap_or(0);
+                let sites = self.host_type(&name).map(|t| t.sites.clone());
+                let offer = sites.unwrap_or_default().into_iter().find_map(|s| {
+                    let offer = (name.clone(), s, true);
+                    (!self.is_refused(now, &offer)).then_some(offer)
+                });
+                let n = allowed
+                    .min(ordinary.saturating_sub(under_way))
+                    .min(busy)
+                    .min(MOST_RENTED);
+                match offer {
+                    Some(o) if n > 0 => {
+                        *self.capacity.replacing.entry(name).or_default() += n;
+                        self.order_rental(o, n);
+                    }
+                    _ => self.capacity.replace_after = Some(now + Duration::from_secs(10)),
+                }
+            }
+        }
+        if round.waiting.is_empty() {
+            self.drain_superfluous(now);
+        }
+        for (name, n) in std::mem::take(&mut self.capacity.replaced) {
+            let mut left = n;
+            for h in self.hosts.values_mut() {
+                if left > 0 && h.host_type == name && !h.spot && !h.draining && h.booting.is_none()
+                {
+                    log::info!("host is emptied for a cheaper one host={}", h.id);
+                    h.draining = true;
+                    left -= 1;
+                }
+            }
+        }
+    }
+
+    /// Empties the dearest ordinary machines whose tasks would find room on spot machines by now,
+    /// with the headroom left as it is.
+    pub(super) fn drain_superfluous(&mut self, now: Instant) {
+        let mut room: Vec<Need> = self
+            .free_room(now)
+            .into_iter()
+            .filter(|(h, _)| h.spot)
+            .map(|(_, n)| n)
+            .collect();
+        let headroom = self.headroom(now);
+        let mut dear: Vec<(f64, &Host)> = self
+            .hosts
+            .values()
+            .filter(|h| h.reported && !h.spot && !h.draining && !h.returning)
+            // Idle ones have their own time to go: a service that has just started has no tasks.
+            .filter(|h| !h.placed.is_empty())
+            .filter_map(|h| {
+                let t = self.host_type(&h.host_type)?;
+                (t.hourly > t.low_price * DEAR).then_some((t.hourly, h))
+            })
+            .collect();
+        dear.sort_by(|a, b| b.0.total_cmp(&a.0));
+        let most = (dear.len() / REPLACING_PART as usize).max(1);
+        let mut emptied: Vec<HostId> = Vec::new();
+        for (_, h) in dear {
+            if emptied.len() >= most || room.is_empty() {
+                break;
+            }
+            let before = room.clone();
+            let moves = h.placed.iter().all(|(task, need)| {
+                let spot = self.jobs.get(&task.uid).is_none_or(|j| j.spec.preemptible);
+                match room.iter_mut().find(|n| spot && need.fits(n)) {
+                    Some(n) => {
+                        n.sub(need);
+                        true
+                    }
+                    None => false,
+                }
+            });
+            let enough = moves
+                && headroom.iter().all(|(tasks, need)| {
+                    let slots: usize = room.iter().map(|n| need.count_in(n)).sum();
+                    slots >= *tasks as usize
+                });
+            if enough {
+                emptied.push(h.id.clone());
+            } else {
+                room = before;
+                if moves {
+                    // The headroom is used up: no other would leave it either.
+                    break;
+                }
+            }
+        }
+        for id in emptied {
+            if let Some(h) = self.hosts.get_mut(&id) {
+                log::info!("host is emptied, spot machines have room host={id}");
+                h.draining = true;
+            }
+        }
+    }
+
+    /// Moves the tasks of thinly used machines together, once nothing waits: the long tasks that are
+    /// left when a burst is over would keep a machine each. Only what saves on being stopped moves,
+    /// and only where the rest of its run is worth the trouble.
+    pub(super) fn consolidate(&mut self, now: Instant) {
+        let mut room: Vec<(&Host, Need, f64)> = self
+            .free_room(now)
+            .into_iter()
+            .filter_map(|(h, free)| {
+                let t = self.host_type(&h.host_type)?;
+                Some((h, free, h.used.share_of(&t.room)))
+            })
+            .collect();
+        // The fullest take; of equally full ones the cheaper.
+        let price = |h: &Host| {
+            let t = self.host_type(&h.host_type);
+            t.map_or(0.0, |t| t.price(h.spot) / t.room.cpus.max(1.0))
+        };
+        room.sort_by(|a, b| {
+            b.2.total_cmp(&a.2)
+                .then(price(a.0).total_cmp(&price(b.0)))
+                .then(a.0.id.cmp(&b.0.id))
+        });
+        let headroom = self.headroom(now);
+        let moving = self.hosts.values().filter(|h| h.draining).count();
+        let mut most = (room.len() / MOVING_PART).max(1).saturating_sub(moving);
+        let mut moves: Vec<(HostId, Vec<(TaskId, Duration)>)> = Vec::new();
+        let mut last = room.len();
+        while most > 0 && last > 1 {
+            last -= 1;
+            let (h, _, used) = &room[last];
+            if *used > THIN || h.placed.is_empty() {
+                continue;
+            }
+            let Some(tasks) = self.movable(now, h) else {
+                continue;
+            };
+            let mut free: Vec<(usize, Need)> = Vec::new();
+            let fits = h.placed.values().all(|need| {
+                let here = (0..last).find(|i| {
+                    let taken = free.iter().rev().find(|f| f.0 == *i);
+                    need.fits(taken.map_or(&room[*i].1, |f| &f.1)) && room[*i].2 > 0.0
+                });
+                here.is_some_and(|i| {
+                    let taken = free.iter().rev().find(|f| f.0 == i);
+                    let mut left = taken.map_or(room[i].1, |f| f.1);
+                    left.sub(need);
+                    free.push((i, left));
+                    true
+                })
+            });
+            if !fits {
+                continue;
+            }
+            let enough = headroom.iter().all(|(tasks, need)| {
+                let slots: usize = room[..last].iter().map(|r| need.count_in(&r.1)).sum();
+                slots >= *tasks as usize + h.placed.len()
+            });
+            if !enough {
+                break;
+            }
+            moves.push((h.id.clone(), tasks));
+            for (i, left) in free {
+                room[i].1 = left;
+            }
+            room.truncate(last);
+            most -= 1;
+        }
+        for (id, tasks) in moves {
+            log::info!(
+                "host is emptied, its tasks move together host={id} tasks={}",
+                tasks.len()
+            );
+            if let Some(h) = self.hosts.get_mut(&id) {
+                h.draining = true;
+            }
+            for (t, grace) in tasks {
+                self.kill(now, &t.uid, t.index, grace);
+            }
+        }
+    }
+
+    /// The tasks of a host with the grace that each needs, when all of them can move.
+    pub(super) fn movable(&self, now: Instant, h: &Host) -> Option<Vec<(TaskId, Duration)>> {
+        let mut tasks = Vec::with_capacity(h.placed.len());
+        for task in h.placed.keys() {
+            let job = self.jobs.get(&task.uid)?;
+            let a = job.active.get(&task.index)?;
+            let ran = now.saturating_duration_since(a.running_since?);
+            let rest = a.est.saturating_sub(ran);
+            let plain = job.spec.kind == JobKind::Batch && !job.spec.same_place && !job.spec.spread;
+            let worth = job.spec.snapshot * 2 + MOVE_REST;
+            if !plain || !job.spec.saves() || a.kill.is_some() || ran < MOVE_RAN || rest < worth {
+                return None;
+            }
+            tasks.push((task.clone(), job.spec.snapshot + Duration::from_secs(2)));
+        }
+        Some(tasks)
+    }
+
+    /// A machine that is being emptied is paid for in any case: while work waits, it takes some.
+    pub(super) fn keep_draining(&mut self, round: &Round) {
+        let mut draining: Vec<(&Host, Need)> = Vec::new();
+        for h in self.hosts.values().filter(|h| h.draining && !h.returning) {
+            if let Some(t) = self.host_type(&h.host_type) {
+                let mut free = t.room;
+                free.sub(&h.used);
+                draining.push((h, free));
+            }
+        }
+        let mut kept: Vec<HostId> = Vec::new();
+        for w in &round.waiting {
+            if draining.is_empty() {
+                break;
+            }
+            if w.coming || w.wait.is_some_and(|t| t <= KEEP_WAIT) {
+                continue;
+            }
+            let Some(job) = self.jobs.get(&w.uid) else {
+                continue;
+            };
+            let site_of = |h: &HostId| self.hosts.get(h).map(|h| h.site.clone());
+            let mut left = w.count;
+            draining.retain(|(h, free)| {
+                let n = job.spec.need.count_in(free);
+                let takes =
+                    left > 0 && n > 0 && permits(job, &site_of, &h.host_type, &h.site, h.spot);
+                if takes {
+                    left = left.saturating_sub(n);
+                    kept.push(h.id.clone());
+                }
+                !takes
+            });
+        }
+        for id in kept {
+            if let Some(h) = self.hosts.get_mut(&id) {
+                log::info!("host is kept after all host={id}");
+                h.draining = false;
+                self.round_due = true;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/core/entities.rs
@@ -0,0 +1,339 @@
+//! What the picture is made of: jobs with their attempts, and hosts.
+
+use super::ledger::{ChunkValue, CHUNK};
+use super::model::*;
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
+use std::time::{Duration, Instant};
+
+/// Machines this near to their type's mean count as it.
+const SAME_SPEED: std::ops::Range<f64> = 0.0..1.25;
+/// Endings alone wait this long for company.
+const ENDINGS_WAIT: Duration = Duration::from_millis(4000);
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Kill {
+    pub wind_down: Duration,
+    pub since: Instant,
+}
+
+/// One attempt at a task, on its host until proved gone.
+#[derive(Clone, Debug)]
+pub struct Active {
+    pub host: HostId,
+    pub attempt: Attempt,
+    /// The intent is in the state service, so the launch may go out.
+    pub durable: bool,
+    /// The token under which the launch last went out. A worker past it accepts no late copy.
+    pub launch_epoch: Epoch,
+    pub tenure: Option<u64>,
+    pub placed: Instant,
+    pub seen: Option<TaskPhase>,
+    pub running_since: Option<Instant>,
+    /// The start of the run was seen, so its length can be measured.
+    pub measured: bool,
+    pub est: Duration,
+    pub kill: Option<Kill>,
+    /// When the launch was first given.
+    pub given: Option<Instant>,
+}
+
+#[derive(Clone, Debug, Default)]
+pub struct Chunk {
+    pub stamp: u64,
+    pub version: u64,
+    pub written: u64,
+    /// Since when it holds endings that are not written. They wait a little for company; intents
+    /// do not.
+    pub ended_since: Option<Instant>,
+    /// Ended attempts that must not be forgotten before version `.2` is durable.
+    pub held: Vec<(u32, Attempt, u64)>,
+    pub done: u64,
+}
+
+#[derive(Clone, Debug)]
+pub struct Job {
+    pub spec: JobSpec,
+    pub image: ImageKey,
+    /// Stamp of the acceptance: arrival order, and the condition that nobody withdrew the job.
+    pub stamp: u64,
+    pub withdrawn: bool,
+    pub withdrawn_at: Option<Instant>,
+    pub finished: bool,
+    pub next: u32,
+    pub requeued: BTreeSet<u32>,
+    pub done_count: u32,
+    pub active: BTreeMap<u32, Active>,
+    pub chunks: BTreeMap<u32, Chunk>,
+    pub error_hosts: HashSet<HostId>,
+    pub errors: u32,
+    pub backoff_until: Option<Instant>,
+    pub unknowns: u32,
+    pub progress: HashMap<u32, Duration>,
+    /// When its user was told that it is accepted.
+    pub arrived: Instant,
+    /// When one of its tasks was last placed; its arrival before that.
+    pub last_placed: Instant,
+    /// It once waited so long that it went before all others.
+    pub starved: bool,
+    /// Tasks that still go before all others.
+    pub turn: u32,
+    /// Attempts whose intents are not durable yet.
+    pub unlaunched: u32,
+}
+
+impl Job {
+    pub(super) fn new(spec: JobSpec, stamp: u64, arrived: Instant) -> Self {
+        Job {
+            image: ImageKey::of(&spec.image),
+            spec,
+            stamp,
+            arrived,
+            last_placed: arrived,
+            starved: false,
+            turn: 0,
+            unlaunched: 0,
+            withdrawn: false,
+            withdrawn_at: None,
+            finished: false,
+            next: 0,
+            requeued: BTreeSet::new(),
+            done_count: 0,
+            active: BTreeMap::new(),
+            chunks: BTreeMap::new(),
+            error_hosts: HashSet::new(),
+            errors: 0,
+            backoff_until: None,
+            unknowns: 0,
+            progress: HashMap::new(),
+        }
+    }
+    pub fn task(&self, index: u32) -> TaskId {
+        TaskId {
+            uid: self.spec.uid.clone(),
+            index,
+        }
+    }
+    pub fn is_done(&self, index: u32) -> bool {
+        self.chunks
+            .get(&(index / CHUNK))
+            .is_some_and(|c| c.done & (1 << (index % CHUNK)) != 0)
+    }
+    pub fn over(&self) -> bool {
+        self.withdrawn || self.finished || self.done_count == self.spec.shards
+    }
+    pub fn final_due(&self) -> bool {
+        !self.withdrawn && !self.finished && self.done_count == self.spec.shards
+    }
+    pub(super) fn touch(&mut self, index: u32) -> &mut Chunk {
+        let c = self.chunks.entry(index / CHUNK).or_default();
+        c.version += 1;
+        c
+    }
+    /// Chunks to be written now: with intents at once, with endings alone after a while.
+    pub fn dirty_chunks(&self, now: Instant) -> Vec<u32> {
+        let due = |i: u32, c: &Chunk| {
+            let waited = |t: Instant| now.saturating_duration_since(t) >= ENDINGS_WAIT;
+            c.version > c.written
+                && (c.ended_since.is_none_or(waited)
+                    || self.unlaunched > 0 && self.intents(i).next().is_some())
+        };
+        let dirty = self.chunks.iter().filter(|(i, c)| due(**i, c));
+        dirty.map(|(i, _)| *i).collect()
+    }
+    pub fn is_dirty(&self) -> bool {
+        self.chunks.values().any(|c| c.version > c.written)
+    }
+    pub fn chunk_value(&self, chunk: u32) -> ChunkValue {
+        let range = chunk * CHUNK..chunk.saturating_add(1).saturating_mul(CHUNK);
+        ChunkValue {
+            done: self.chunks.get(&chunk).map_or(0, |c| c.done),
+            active: self
+                .active
+                .range(range)
+                .map(|(i, a)| (*i, a.attempt, a.host.clone()))
+                .collect(),
+        }
+    }
+    pub fn intents(&self, chunk: u32) -> impl Iterator<Item = (u32, Attempt)> + '_ {
+        let range = chunk * CHUNK..chunk.saturating_add(1).saturating_mul(CHUNK);
+        self.active
+            .range(range)
+            .filter(|(_, a)| !a.durable)
+            .map(|(i, a)| (*i, a.attempt))
+    }
+    pub fn written(&mut self, chunk: u32, version: u64, revision: u64) {
+        if let Some(c) = self.chunks.get_mut(&chunk) {
+            c.stamp = revision;
+            c.written = c.written.max(version);
+            if c.written == c.version {
+                c.ended_since = None;
+            }
+            c.held.retain(|(_, _, v)| *v > version);
+        }
+    }
+    pub(super) fn is_held(&self, index: u32, attempt: Attempt) -> bool {
+        self.chunks
+            .get(&(index / CHUNK))
+            .is_some_and(|c| c.held.iter().any(|(i, a, _)| *i == index && *a == attempt))
+    }
+    /// The next `most` tasks that wait to be placed.
+    pub fn pending(&self, most: usize) -> Vec<u32> {
+        let mut out: Vec<u32> = self.requeued.iter().take(most).copied().collect();
+        let mut i = self.next;
+        while out.len() < most && i < self.spec.shards {
+            if !self.is_done(i) && !self.active.contains_key(&i) && !self.requeued.contains(&i) {
+                out.push(i);
+            }
+            i += 1;
+        }
+        out
+    }
+    pub fn waiting_count(&self) -> u32 {
+        (self.spec.shards - self.done_count).saturating_sub(self.active.len() as u32)
+    }
+    pub fn running_count(&self) -> u32 {
+        let running =
+            |a: &&Active| matches!(a.seen, Some(TaskPhase::Running | TaskPhase::Flushing));
+        self.active.values().filter(running).count() as u32
+    }
+}
+
+#[derive(Clone, Debug)]
+pub struct Host {
+    pub id: HostId,
+    pub endpoint: String,
+    pub host_type: TypeName,
+    pub site: Site,
+    pub spot: bool,
+    pub tenure: u64,
+    pub serial: u64,
+    /// The token that goes out with the next message.
+    pub epoch: Epoch,
+    /// The worker has shown a token of this term, so nobody else's answers renew its lease.
+    pub fenced: bool,
+    pub reported: bool,
+    /// Its report was asked for in this term.
+    pub probed: bool,
+    /// Rented in this term: no earlier life of it can have left reports behind.
+    pub own: bool,
+    /// It is given nothing until it shows this token, first answered then: what reached us from it
+    /// does not prove that answers and commands reach it.
+    pub must_show: Option<(Epoch, Instant)>,
+    /// Shown by a worker whose reports counted from the beginning again. Reports below it are its
+    /// predecessor's, however high they count.
+    pub floor: Option<Epoch>,
+    /// The token by which such a worker would show that it is alive.
+    pub restart_probe: Option<Epoch>,
+    pub known_since: Instant,
+    pub last_heard: Instant,
+    pub last_answer: Option<Instant>,
+    /// Not up yet: when the rental was asked for.
+    pub booting: Option<Instant>,
+    pub eviction: Option<Instant>,
+    pub placed: BTreeMap<TaskId, Need>,
+    pub used: Need,
+    pub foreign: Need,
+    pub images: VecDeque<(ImageKey, f64)>,
+    pub fetching: BTreeMap<ImageKey, (Instant, f64)>,
+    pub sending: bool,
+    pub returning: bool,
+    pub return_sent: Option<Instant>,
+    pub idle_since: Option<Instant>,
+    /// A cheaper machine has taken its place: it gets no more tasks.
+    pub draining: bool,
+    pub avoid_until: Option<Instant>,
+    /// Jobs whose tasks failed here since the last success.
+    pub failed_jobs: HashSet<Uid>,
+    pub quarantined: bool,
+    /// Logarithm of measured over expected run time here.
+    pub slowness: super::history::Average,
+    pub lease_spent: bool,
+    /// A withdrawn task has been on it for too long: it goes whatever else is doubtful.
+    pub overdue: bool,
+}
+
+impl Host {
+    pub fn new(
+        id: HostId,
+        host_type: TypeName,
+        site: Site,
+        spot: bool,
+        term: Term,
+        now: Instant,
+    ) -> Self {
+        Host {
+            id,
+            endpoint: String::new(),
+            host_type,
+            site,
+            spot,
+            tenure: 0,
+            serial: 0,
+            epoch: Epoch::first(term).next(),
+            fenced: false,
+            reported: false,
+            probed: false,
+            own: false,
+            must_show: None,
+            floor: None,
+            restart_probe: None,
+            known_since: now,
+            last_heard: now,
+            last_answer: None,
+            booting: None,
+            eviction: None,
+            placed: BTreeMap::new(),
+            used: Need::default(),
+            foreign: Need::default(),
+            images: VecDeque::new(),
+            fetching: BTreeMap::new(),
+            sending: false,
+            returning: false,
+            return_sent: None,
+            idle_since: None,
+            draining: false,
+            avoid_until: None,
+            failed_jobs: HashSet::new(),
+            quarantined: false,
+            slowness: Default::default(),
+            lease_spent: false,
+            overdue: false,
+        }
+    }
+    /// Whether answers and commands of this term are known to reach it.
+    pub fn heeds(&self) -> bool {
+        (self.fenced || self.own) && self.must_show.is_none()
+    }
+    pub(super) fn doubt(&mut self, now: Instant) {
+        if self.must_show.is_none() {
+            self.epoch = self.epoch.next();
+            self.must_show = Some((self.epoch, now));
+        }
+    }
+    pub fn has_image(&self, image: ImageKey) -> bool {
+        self.images.iter().any(|(i, _)| *i == image)
+    }
+    pub(super) fn cached(&mut self, image: ImageKey, gb: f64, cache_gb: f64) {
+        self.fetching.remove(&image);
+        if self.images.back().is_some_and(|(i, _)| *i == image) {
+            return;
+        }
+        self.images.retain(|(i, _)| *i != image);
+        self.images.push_back((image, gb));
+        while self.images.len() > 1 && self.images.iter().map(|i| i.1).sum::<f64>() > cache_gb {
+            self.images.pop_front();
+        }
+    }
+    /// How much the measured run times here exceed the type's, drawn to 1 while few.
+    pub fn speed(&self) -> f64 {
+        let weight = f64::from(self.slowness.count.min(4)) / 4.0;
+        let speed = (self.slowness.mean * weight).exp().clamp(0.7, 20.0);
+        // Machines of a type differ by a tenth, and the measurements by more: of many machines the
+        // luckiest would be waited for while others stand idle.
+        if SAME_SPEED.contains(&speed) {
+            1.0
+        } else {
+            speed
+        }
+    }
+}
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -3,8 +3,15 @@
 pub mod admission;
 pub mod capacity;
 pub mod cluster;
+mod departures;
+mod emptying;
+pub mod entities;
 pub mod history;
 pub mod leadership;
 pub mod ledger;
 pub mod model;
 pub mod placement;
+mod preemption;
+mod queue;
+mod reports;
+mod returning;
--- a/src/core/placement.rs
+++ b/src/core/placement.rs
@@ -9,45 +9,29 @@
 //! which only the machine that took the last task is scored anew. The choice is the same as if each
 //! task were scored on every machine (a test compares the two).
 
-use super::cluster::{Active, Cluster, Host, Job};
+use super::cluster::{Cluster, Host, Job};
 use super::history::fetch_at;
 use super::model::*;
 use std::cmp::{Ordering, Reverse};
-use std::collections::{BinaryHeap, HashMap, HashSet};
+use std::collections::{BinaryHeap, HashMap};
 use std::time::{Duration, Instant};
 
 /// Tasks looked at in one round. A longer queue waits for the rounds to come.
 const ROUND_TASKS: usize = 4000;
 /// Scores closer than this are equal: reports come no more often than every half second.
-const RESOLUTION_S: f64 = 1.0;
+pub(super) const RESOLUTION_S: f64 = 1.0;
 /// From a task's predicted end to the next one's start in its place. Also, of many predicted ends the
 /// earliest is mostly an error: without this, tasks wait for busy machines while others stand idle.
-const TURNAROUND: Duration = Duration::from_millis(2500);
+pub(super) const TURNAROUND: Duration = Duration::from_millis(2500);
 /// Kept progress of restarted tasks counts in steps of this, so that they share a scoring too.
 const KEPT_STEP_S: f64 = 5.0;
 
-/// Tasks stopped for others in one round.
-const ROUND_VICTIMS: usize = 64;
-/// A job that is overdue by this much is no longer put off for those that can be on time.
-const LATE_PATIENCE: Duration = Duration::from_secs(600);
 /// How much larger a waiting task must be for smaller ones to make way, and by how much they do.
 const LARGER: f64 = 4.0;
 const CROWDING: Duration = Duration::from_secs(3);
-/// The part of a promised start that a task may be expected to wait before others are stopped.
-const PATIENCE_SHARE: f64 = 0.25;
-/// Waits no longer than this are not worth anybody's work.
-const PREEMPT_PATIENCE: Duration = Duration::from_secs(2);
-/// What it costs a stopped task to be placed and started again.
-const RESTART: Duration = Duration::from_secs(5);
-/// A task that has run for less is left alone: stopped so early, its start would have been in vain.
-const VICTIM_RAN: Duration = Duration::from_secs(31);
-/// What has waited for longer than this goes before the rest of its urgency, by arrival: the
-/// exceptions that favour small and punctual work end there. Guaranteed work stays first, since it may
-/// stop borrowed work: were that placed before it, one would be stopped for the other in every round.
-const AGED: Duration = Duration::from_secs(150);
 /// Every job begins within four minutes. One none of whose tasks was placed for this long has a turn:
 /// it goes before all others, whatever their urgency or size, with one part in so many of its tasks.
-const STARVED: Duration = Duration::from_secs(100);
+pub(super) const STARVED: Duration = Duration::from_secs(100);
 const STARVED_PART: u32 = 8;
 /// Of these, so many (one in 32 of the job) keep the machine that they wait for free of others.
 const RESERVED_PART: u32 = 32;
@@ -71,21 +55,21 @@
 }
 
 /// A machine as the round sees it, with this round's starts and bookings on top.
-struct Slot<'a> {
-    host: &'a Host,
-    type_index: usize,
+pub(super) struct Slot<'a> {
+    pub(super) host: &'a Host,
+    pub(super) type_index: usize,
     /// Room free now; for a machine that is still booting, its whole room later.
-    free: Need,
+    pub(super) free: Need,
     /// Room once bookings are taken off; may be negative.
-    later: Need,
-    releases: Vec<(Instant, Need)>,
-    up_at: Option<Instant>,
-    speed: f64,
-    price: f64,
+    pub(super) later: Need,
+    pub(super) releases: Vec<(Instant, Need)>,
+    pub(super) up_at: Option<Instant>,
+    pub(super) speed: f64,
+    pub(super) price: f64,
     /// Images under way here, this round's included, and their size together.
-    fetch_gb: f64,
-    started_images: Vec<ImageKey>,
-    booked_images: Vec<ImageKey>,
+    pub(super) fetch_gb: f64,
+    pub(super) started_images: Vec<ImageKey>,
+    pub(super) booked_images: Vec<ImageKey>,
 }
 
 /// Prices a half apart or nearer count as equal: spot prices move by a third.
@@ -99,7 +83,7 @@
 
 impl Slot<'_> {
     /// Avail: now if room fits, else when booked tasks free enough.
-    fn avail(&self, now: Instant, need: &Need, room: &Need) -> Option<(Instant, bool)> {
+    pub(super) fn avail(&self, now: Instant, need: &Need, room: &Need) -> Option<(Instant, bool)> {
         if !need.fits(room) {
             return None;
         }
@@ -121,7 +105,7 @@
         None
     }
 
-    fn book(&mut self, at: Instant, est: Duration, need: &Need) {
+    pub(super) fn book(&mut self, at: Instant, est: Duration, need: &Need) {
         self.later.sub(need);
         let end = at + est;
         let i = self.releases.partition_point(|(t, _)| *t <= end);
@@ -129,7 +113,7 @@
     }
 
     /// The penalty: zero where the image is cached, else its fetch behind those queued.
-    fn penalty(&self, now: Instant, rate: f64, job: &Job) -> Duration {
+    pub(super) fn penalty(&self, now: Instant, rate: f64, job: &Job) -> Duration {
         if job.spec.image_gb <= 0.0
             || self.host.has_image(job.image)
             || self.booked_images.contains(&job.image)
@@ -146,7 +130,7 @@
         fetch_at(rate, self.fetch_gb + job.spec.image_gb)
     }
 
-    fn started(&mut self, job: &Job) {
+    pub(super) fn started(&mut self, job: &Job) {
         if !self.host.has_image(job.image)
             && !self.host.fetching.contains_key(&job.image)
             && !self.started_images.contains(&job.image)
@@ -157,28 +141,6 @@
     }
 }
 
-/// What stopping an attempt at once costs, in seconds of its work. None: it must not be stopped,
-/// since it only just started or will end by itself soon. `counted`: an early stop would also undo
-/// a start that its users were promised.
-fn victim_loss(now: Instant, job: &Job, a: &Active, kept: Duration, counted: bool) -> Option<f64> {
-    let ran = a
-        .running_since
-        .map_or(Duration::ZERO, |s| now.saturating_duration_since(s));
-    let rest = a.est.saturating_sub(ran);
-    if (counted && ran < VICTIM_RAN) || rest < PREEMPT_PATIENCE {
-        return None;
-    }
-    let progress = ran.as_secs_f64() + kept.as_secs_f64();
-    let every = job.spec.snapshot_every.as_secs_f64();
-    let work = match (a.running_since, every > 0.0) {
-        (None, _) => now.saturating_duration_since(a.placed).as_secs_f64(),
-        (_, true) => progress % every,
-        (_, false) => progress,
-    };
-    // Whatever it had done, it has to be placed and started again.
-    Some(work + RESTART.as_secs_f64())
-}
-
 /// Whether a job may start one more task there: the one place that every launch passes.
 pub fn permits(
     job: &Job,
@@ -283,45 +245,6 @@
     gang: bool,
 }
 
-/// A running task that might make way.
-struct Candidate<'a> {
-    task: &'a TaskId,
-    job: &'a Job,
-    covered: bool,
-    loss: f64,
-}
-
-/// What room for one task costs: the loss in seconds, the slot, the victims by their place.
-struct Claim {
-    loss: f64,
-    slot: usize,
-    victims: Vec<usize>,
-}
-
-impl Ord for Claim {
-    fn cmp(&self, other: &Self) -> Ordering {
-        self.loss
-            .total_cmp(&other.loss)
-            .then(self.slot.cmp(&other.slot))
-    }
-}
-impl PartialOrd for Claim {
-    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
-        Some(self.cmp(other))
-    }
-}
-impl PartialEq for Claim {
-    fn eq(&self, other: &Self) -> bool {
-        self.cmp(other) == Ordering::Equal
-    }
-}
-impl Eq for Claim {}
-
-/// A job's place in the queue: urgency, borrowed, not aged, late, size.
-type Place = (Reverse<Urgency>, bool, bool, bool, i64);
-/// What a team uses beside what is being stopped, and its tasks with what stopping each loses.
-type OwnWork<'a> = (Need, Vec<(f64, TaskId, &'a Job)>);
-
 /// Where waiting tasks are counted together: waits this close are one.
 fn push_waiting(waiting: &mut Vec<Waiting>, w: Waiting) {
     if let Some(last) = waiting.last_mut() {
@@ -346,7 +269,7 @@
 }
 
 impl Cluster {
-    fn usable(&self, now: Instant, h: &Host) -> bool {
+    pub(super) fn usable(&self, now: Instant, h: &Host) -> bool {
         let fresh = now.saturating_duration_since(h.last_heard) <= self.params.report.mul_f64(2.5);
         h.reported
             && fresh
@@ -358,7 +281,7 @@
             && h.avoid_until.is_none_or(|t| t <= now)
     }
 
-    fn slots(&self, now: Instant, rates: &[f64]) -> Vec<Slot<'_>> {
+    pub(super) fn slots(&self, now: Instant, rates: &[f64]) -> Vec<Slot<'_>> {
         let mut slots = Vec::with_capacity(self.hosts.len());
         for h in self.hosts.values() {
             let Some(ti) = self.types.iter().position(|t| t.name == h.host_type) else {
@@ -454,7 +377,7 @@
     }
 
     /// Whether the job may use this slot, its tasks placed so far aside.
-    fn admits(&self, job: &Job, s: &Slot<'_>, given: &[&Site]) -> bool {
+    pub(super) fn admits(&self, job: &Job, s: &Slot<'_>, given: &[&Site]) -> bool {
         let failed = job.error_hosts.len() < 3 && job.error_hosts.contains(&s.host.id);
         let name = &self.types[s.type_index].name;
         let site_of = self.site_of();
@@ -687,347 +610,7 @@
         plan
     }
 
-    /// The queue: by urgency, then arrival, with exceptions. A job that has long had nothing placed
-    /// goes before all others with a part of its tasks. Within an urgency, what a team's guarantee
-    /// covers goes before what is borrowed. What can still be on time goes before what cannot: in
-    /// arrival order alone a short overload makes every job after it late. And while jobs with
-    /// deadlines are late, the small ones go first, so that most are on time.
-    fn queue_order(&self, now: Instant, within: &HashSet<&Uid>) -> Vec<(&Uid, Option<u32>)> {
-        let waits = |j: &&Job| {
-            !j.over() && j.waiting_count() > 0 && j.backoff_until.is_none_or(|b| now >= b)
-        };
-        let jobs: Vec<&Job> = self
-            .order
-            .iter()
-            .filter_map(|u| self.jobs.get(u))
-            .filter(waits)
-            .collect();
-        let late: Vec<bool> = jobs.iter().map(|j| self.is_late(now, j)).collect();
-        let overloaded: HashSet<Urgency> = jobs
-            .iter()
-            .zip(&late)
-            .filter(|(j, late)| **late && j.spec.due.is_some())
-            .map(|(j, _)| j.spec.urgency)
-            .collect();
-        let mut order: Vec<(Place, &Job)> = jobs
-            .iter()
-            .zip(late)
-            .map(|(j, late)| {
-                let size = if overloaded.contains(&j.spec.urgency) {
-                    self.size_step(&j.spec)
-                } else {
-                    0
-                };
-                let borrowed = !within.contains(&j.spec.uid);
-                let urgency = Reverse(j.spec.urgency);
-                if now.saturating_duration_since(j.arrived) > AGED {
-                    return ((urgency, borrowed, false, false, 0), *j);
-                }
-                ((urgency, borrowed, true, late, size), *j)
-            })
-            .collect();
-        order.sort_by_key(|o| o.0);
-        let mut starved: Vec<&Job> = jobs.iter().filter(|j| j.turn > 0).copied().collect();
-        starved.sort_by_key(|j| j.arrived);
-        let first = starved.into_iter().map(|j| (&j.spec.uid, Some(j.turn)));
-        first
-            .chain(order.into_iter().map(|(_, j)| (&j.spec.uid, None)))
-            .collect()
-    }
-
-    /// A job's whole work, in doublings.
-    fn size_step(&self, spec: &JobSpec) -> i64 {
-        let ests = self.types.iter().map(|t| self.history.est(spec, &t.name));
-        let est = ests.min().unwrap_or(spec.expected).as_secs_f64();
-        let work = est * f64::from(spec.shards) * spec.need.cpus.max(spec.need.gpus);
-        work.max(1.0).log2() as i64
-    }
-
-    /// Whether a job will miss its time even if it starts now. One that is overdue by far is no
-    /// longer put off.
-    fn is_late(&self, now: Instant, job: &Job) -> bool {
-        let best = self.types.iter().filter(|t| job.spec.allows_type(&t.name));
-        let Some(est) = best.map(|t| self.history.est(&job.spec, &t.name)).min() else {
-            return false;
-        };
-        let Some(due) = self.promised_finish(job) else {
-            return false;
-        };
-        let age = now.saturating_duration_since(job.arrived);
-        age + est > due && age < due + LATE_PATIENCE
-    }
-
-    /// Jobs that fit into their team's guarantee together with its earlier unfinished jobs.
-    fn within_guarantee(&self) -> HashSet<&Uid> {
-        let mut jobs: Vec<&Job> = self.jobs.values().filter(|j| !j.over()).collect();
-        jobs.sort_by_key(|j| j.stamp);
-        let mut sums: HashMap<&TeamName, Need> = HashMap::new();
-        let mut within = HashSet::new();
-        for j in jobs {
-            let sum = sums.entry(&j.spec.owner).or_default();
-            sum.add(&j.spec.need.times(f64::from(j.spec.shards)));
-            let team = self.params.teams.iter().find(|t| t.name == j.spec.owner);
-            if team.is_some_and(|t| t.guarantees(sum)) {
-                within.insert(&j.spec.uid);
-            }
-        }
-        within
-    }
-
-    /// Running tasks by slot, those that lose least first.
-    fn candidates<'a>(
-        &'a self,
-        now: Instant,
-        slots: &[Slot<'a>],
-        within: &HashSet<&Uid>,
-    ) -> Vec<Vec<Candidate<'a>>> {
-        let mut all = Vec::with_capacity(slots.len());
-        for s in slots {
-            let room = &self.types[s.type_index].room;
-            let mut list: Vec<Candidate<'a>> = Vec::new();
-            for task in s.host.placed.keys().filter(|_| s.up_at.is_none()) {
-                let Some(v) = self.jobs.get(&task.uid) else {
-                    continue;
-                };
-                let Some(a) = v.active.get(&task.index) else {
-                    continue;
-                };
-                if a.kill.is_some() || v.spec.kind == JobKind::Gang {
-                    continue;
-                }
-                let kept = v.progress.get(&task.index).copied().unwrap_or_default();
-                let covered = within.contains(&task.uid);
-                // What waited its turn for very long is not stopped right after its start.
-                let counted = covered || v.starved || self.start_promised(&v.spec);
-                if let Some(loss) = victim_loss(now, v, a, kept, counted) {
-                    list.push(Candidate {
-                        task,
-                        job: v,
-                        covered,
-                        loss: loss * v.spec.need.share_of(room),
-                    });
-                }
-            }
-            list.sort_by(|a, b| a.loss.total_cmp(&b.loss).then(a.task.cmp(b.task)));
-            all.push(list);
-        }
-        all
-    }
-
-    /// Stops tasks for those that have a claim on their room: of lower urgency, or borrowed by a
-    /// team beyond its guarantee while another lacks its own. Victims are those that lose least.
-    fn preempt(
-        &self,
-        now: Instant,
-        waiting: &[Waiting],
-        slots: &[Slot<'_>],
-        within: &HashSet<&Uid>,
-        rates: &[f64],
-    ) -> Vec<(TaskId, bool)> {
-        let mut chosen: Vec<(TaskId, bool)> = Vec::new();
-        let mut pool: Vec<Need> = slots.iter().map(|s| s.free).collect();
-        let mut usage = self.usage.clone();
-        let mut candidates: Option<Vec<Vec<Candidate<'_>>>> = None;
-        let mut taken: Vec<HashSet<usize>> = vec![HashSet::new(); slots.len()];
-        let mut rest = waiting;
-        while let Some(first) = rest.first() {
-            // What one job waits for is claimed together.
-            let same = rest.iter().take_while(|w| w.uid == first.uid).count();
-            let (group, others) = rest.split_at(same);
-            rest = others;
-            if chosen.len() >= ROUND_VICTIMS {
-                break;
-            }
-            let Some(job) = self.jobs.get(&first.uid) else {
-                continue;
-            };
-            let spec = &job.spec;
-            let patience = self.patience(spec);
-            let mut left: usize = group
-                .iter()
-                .filter(|w| w.wait.is_none_or(|x| x > patience))
-                .map(|w| w.count)
-                .sum();
-            let soonest = group
-                .iter()
-                .filter_map(|w| Some((w.wait.filter(|x| *x > patience)?, w.est)))
-                .min_by_key(|(wait, est)| *wait + *est);
-            let covered = within.contains(&first.uid);
-            if left == 0 || spec.kind == JobKind::Gang {
-                continue;
-            }
-            if !covered && spec.urgency <= Urgency::Standard {
-                continue;
-            }
-            let candidates = candidates.get_or_insert_with(|| self.candidates(now, slots, within));
-            let claim = |i: usize,
-                         pool: &[Need],
-                         taken: &[HashSet<usize>],
-                         usage: &HashMap<TeamName, Need>| {
-                let s = &slots[i];
-                // In the same unit as what the victims lose: seconds of a machine's share. Room that
-                // is free but lacks the image then goes before tasks that only just came.
-                let t = &self.types[s.type_index];
-                let share = spec.need.share_of(&t.room);
-                let penalty = s.penalty(now, rates[s.type_index], job);
-                // Only where the claimant would then go: if the machine that it waits for stays the
-                // better one, others fill the room, and are stopped again in the next round.
-                let est = self.history.est(spec, &t.name).mul_f64(s.speed);
-                let there = penalty + est + Duration::from_secs_f64(RESOLUTION_S);
-                if soonest.is_some_and(|(wait, est)| there > wait + TURNAROUND + est) {
-                    return None;
-                }
-                let mut loss = penalty.as_secs_f64() * share;
-                let mut room = pool[i];
-                let mut victims = Vec::new();
-                for (n, v) in candidates[i].iter().enumerate() {
-                    if spec.need.fits(&room) {
-                        break;
-                    }
-                    let lower = v.job.spec.urgency < spec.urgency;
-                    let borrowed = || {
-                        covered
-                            && !v.covered
-                            && v.job.spec.owner != spec.owner
-                            && self.beyond_guarantee(usage, &v.job.spec)
-                    };
-                    if taken[i].contains(&n) || !(lower || borrowed()) {
-                        continue;
-                    }
-                    room.add(&v.job.spec.need);
-                    loss += v.loss;
-                    victims.push(n);
-                }
-                spec.need.fits(&room).then_some(Reverse(Claim {
-                    loss,
-                    slot: i,
-                    victims,
-                }))
-            };
-            let mut claims: BinaryHeap<Reverse<Claim>> = (0..slots.len())
-                .filter(|i| slots[*i].up_at.is_none() && self.admits(job, &slots[*i], &[]))
-                .filter_map(|i| claim(i, &pool, &taken, &usage))
-                .collect();
-            while left > 0 && chosen.len() < ROUND_VICTIMS {
-                let Some(Reverse(c)) = claims.pop() else {
-                    break;
-                };
-                left -= 1;
-                for n in c.victims {
-                    let v = &candidates[c.slot][n];
-                    pool[c.slot].add(&v.job.spec.need);
-                    if let Some(u) = usage.get_mut(&v.job.spec.owner) {
-                        u.sub(&v.job.spec.need);
-                    }
-                    taken[c.slot].insert(n);
-                    chosen.push((v.task.clone(), false));
-                }
-                pool[c.slot].sub(&spec.need);
-                claims.extend(claim(c.slot, &pool, &taken, &usage));
-            }
-        }
-        chosen
-    }
-
-    /// Stops a team's own work of lower urgency where only the team's limit holds up a more urgent
-    /// job of its.
-    fn preempt_own(
-        &self,
-        now: Instant,
-        limited: &[&Uid],
-        within: &HashSet<&Uid>,
-        chosen: &mut Vec<(TaskId, bool)>,
-    ) {
-        // Of each team concerned: what it uses beside what is being stopped, and who may be.
-        let mut teams: HashMap<&TeamName, OwnWork<'_>> = HashMap::new();
-        let limited: Vec<&Job> = limited
-            .iter()
-            .filter_map(|u| self.jobs.get(*u))
-            .filter(|j| j.spec.urgency > Urgency::Standard && j.spec.kind == JobKind::Batch)
-            .collect();
-        for job in &limited {
-            let owner = &job.spec.owner;
-            if !teams.contains_key(owner) {
-                let used = self.usage.get(owner).copied().unwrap_or_default();
-                teams.insert(owner, (used, Vec::new()));
-            }
-        }
-        if teams.is_empty() {
-            return;
-        }
-        let already: HashSet<TaskId> = chosen.iter().map(|c| c.0.clone()).collect();
-        for v in self.jobs.values() {
-            let Some((used, victims)) = teams.get_mut(&v.spec.owner) else {
-                continue;
-            };
-            for (i, a) in &v.active {
-                let task = v.task(*i);
-                if a.kill.is_some() || already.contains(&task) {
-                    used.sub(&v.spec.need);
-                } else if v.spec.kind == JobKind::Batch {
-                    let kept = v.progress.get(i).copied().unwrap_or_default();
-                    let counted =
-                        within.contains(&v.spec.uid) || v.starved || self.start_promised(&v.spec);
-                    if let Some(loss) = victim_loss(now, v, a, kept, counted) {
-                        victims.push((loss, task, v));
-                    }
-                }
-            }
-        }
-        for (_, victims) in teams.values_mut() {
-            victims.sort_by(|a, b| b.0.total_cmp(&a.0).then(b.1.cmp(&a.1)));
-        }
-        for job in limited {
-            let spec = &job.spec;
-            let Some(team) = self.params.teams.iter().find(|t| t.name == spec.owner) else {
-                continue;
-            };
-            let Some((used, victims)) = teams.get_mut(&spec.owner) else {
-                continue;
-            };
-            let wanted = spec.need.times(f64::from(job.waiting_count()));
-            while !team.allows(used, &wanted) && chosen.len() < ROUND_VICTIMS {
-                let Some(at) = victims
-                    .iter()
-                    .rposition(|v| v.2.spec.urgency < spec.urgency)
-                else {
-                    break;
-                };
-                let (_, task, v) = victims.remove(at);
-                used.sub(&v.spec.need);
-                chosen.push((task, true));
-            }
-            used.add(&wanted);
-        }
-    }
-
-    /// Whether the users of the class were promised how soon its tasks start.
-    fn start_promised(&self, spec: &JobSpec) -> bool {
-        let promised = |o: &Objective| o.kind == "wait" && o.class.as_ref() == Some(&spec.class);
-        self.params.objectives.iter().any(promised)
-    }
-
-    /// How long a task may be expected to wait before others are stopped for it: a part of what its
-    /// class's users were promised, less where nothing is said.
-    fn patience(&self, spec: &JobSpec) -> Duration {
-        self.params
-            .objectives
-            .iter()
-            .filter(|o| o.kind == "wait" && o.class.as_ref() == Some(&spec.class))
-            .filter_map(|o| o.within)
-            .min()
-            .map_or(PREEMPT_PATIENCE, |w| {
-                w.mul_f64(PATIENCE_SHARE).max(PREEMPT_PATIENCE)
-            })
-    }
-
-    fn beyond_guarantee(&self, usage: &HashMap<TeamName, Need>, spec: &JobSpec) -> bool {
-        let team = self.params.teams.iter().find(|t| t.name == spec.owner);
-        let used = usage.get(&spec.owner).copied().unwrap_or_default();
-        team.is_some_and(|t| !t.guarantees(&used))
-    }
-
-    fn site_of(&self) -> impl Fn(&HostId) -> Option<Site> + '_ {
+    pub(super) fn site_of(&self) -> impl Fn(&HostId) -> Option<Site> + '_ {
         |h| {
             let host = self.hosts.get(h)?;
             (!host.site.0.is_empty()).then(|| host.site.clone())
@@ -1166,7 +749,8 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::core::cluster::Answer;
+    use crate::core::cluster::{Active, Answer};
+    use crate::core::preemption::victim_loss;
     use rand::rngs::StdRng;
     use rand::{Rng, SeedableRng};
 
--- /dev/null
+++ b/src/core/queue.rs
@@ -0,0 +1,110 @@
+//! The order in which waiting jobs are looked at.
+
+use super::cluster::{Cluster, Job};
+use super::model::*;
+use std::cmp::Reverse;
+use std::collections::{HashMap, HashSet};
+use std::time::{Duration, Instant};
+
+/// A job that is overdue by this much is no longer put off for those that can be on time.
+const LATE_PATIENCE: Duration = Duration::from_secs(600);
+/// What has waited for longer than this goes before the rest of its urgency, by arrival: the
+/// exceptions that favour small and punctual work end there. Guaranteed work stays first, since it may
+/// stop borrowed work: were that placed before it, one would be stopped for the other in every round.
+const AGED: Duration = Duration::from_secs(150);
+
+/// A job's place in the queue: urgency, borrowed, not aged, late, size.
+type Place = (Reverse<Urgency>, bool, bool, bool, i64);
+
+impl Cluster {
+    /// The queue: by urgency, then arrival, with exceptions. A job that has long had nothing placed
+    /// goes before all others with a part of its tasks. Within an urgency, what a team's guarantee
+    /// covers goes before what is borrowed. What can still be on time goes before what cannot: in
+    /// arrival order alone a short overload makes every job after it late. And while jobs with
+    /// deadlines are late, the small ones go first, so that most are on time.
+    pub(super) fn queue_order(
+        &self,
+        now: Instant,
+        within: &HashSet<&Uid>,
+    ) -> Vec<(&Uid, Option<u32>)> {
+        let waits = |j: &&Job| {
+            !j.over() && j.waiting_count() > 0 && j.backoff_until.is_none_or(|b| now >= b)
+        };
+        let jobs: Vec<&Job> = self
+            .order
+            .iter()
+            .filter_map(|u| self.jobs.get(u))
+            .filter(waits)
+            .collect();
+        let late: Vec<bool> = jobs.iter().map(|j| self.is_late(now, j)).collect();
+        let overloaded: HashSet<Urgency> = jobs
+            .iter()
+            .zip(&late)
+            .filter(|(j, late)| **late && j.spec.due.is_some())
+            .map(|(j, _)| j.spec.urgency)
+            .collect();
+        let mut order: Vec<(Place, &Job)> = jobs
+            .iter()
+            .zip(late)
+            .map(|(j, late)| {
+                let size = if overloaded.contains(&j.spec.urgency) {
+                    self.size_step(&j.spec)
+                } else {
+                    0
+                };
+                let borrowed = !within.contains(&j.spec.uid);
+                let urgency = Reverse(j.spec.urgency);
+                if now.saturating_duration_since(j.arrived) > AGED {
+                    return ((urgency, borrowed, false, false, 0), *j);
+                }
+                ((urgency, borrowed, true, late, size), *j)
+            })
+            .collect();
+        order.sort_by_key(|o| o.0);
+        let mut starved: Vec<&Job> = jobs.iter().filter(|j| j.turn > 0).copied().collect();
+        starved.sort_by_key(|j| j.arrived);
+        let first = starved.into_iter().map(|j| (&j.spec.uid, Some(j.turn)));
+        first
+            .chain(order.into_iter().map(|(_, j)| (&j.spec.uid, None)))
+            .collect()
+    }
+
+    /// A job's whole work, in doublings.
+    pub(super) fn size_step(&self, spec: &JobSpec) -> i64 {
+        let ests = self.types.iter().map(|t| self.history.est(spec, &t.name));
+        let est = ests.min().unwrap_or(spec.expected).as_secs_f64();
+        let work = est * f64::from(spec.shards) * spec.need.cpus.max(spec.need.gpus);
+        work.max(1.0).log2() as i64
+    }
+
+    /// Whether a job will miss its time even if it starts now. One that is overdue by far is no
+    /// longer put off.
+    pub(super) fn is_late(&self, now: Instant, job: &Job) -> bool {
+        let best = self.types.iter().filter(|t| job.spec.allows_type(&t.name));
+        let Some(est) = best.map(|t| self.history.est(&job.spec, &t.name)).min() else {
+            return false;
+        };
+        let Some(due) = self.promised_finish(job) else {
+            return false;
+        };
+        let age = now.saturating_duration_since(job.arrived);
+        age + est > due && age < due + LATE_PATIENCE
+    }
+
+    /// Jobs that fit into their team's guarantee together with its earlier unfinished jobs.
+    pub(super) fn within_guarantee(&self) -> HashSet<&Uid> {
+        let mut jobs: Vec<&Job> = self.jobs.values().filter(|j| !j.over()).collect();
+        jobs.sort_by_key(|j| j.stamp);
+        let mut sums: HashMap<&TeamName, Need> = HashMap::new();
+        let mut within = HashSet::new();
+        for j in jobs {
+            let sum = sums.entry(&j.spec.owner).or_default();
+            sum.add(&j.spec.need.times(f64::from(j.spec.shards)));
+            let team = self.params.teams.iter().find(|t| t.name == j.spec.owner);
+            if team.is_some_and(|t| t.guarantees(sum)) {
+                within.insert(&j.spec.uid);
+            }
+        }
+        within
+    }
+}
--- /dev/null
+++ b/src/core/reports.rs
@@ -0,0 +1,530 @@
+//! What workers' reports tell, and what they are answered.
+
+use super::cluster::{Action, Answer, Cluster};
+use super::entities::Host;
+use super::model::*;
+use std::collections::HashSet;
+use std::time::{Duration, Instant};
+
+/// Most directives in one message: far below 64 KiB.
+const MOST_DIRECTIVES: usize = 300;
+/// What was told to a host shows in its reports within one interval, or this.
+const HEED_LEAST: Duration = Duration::from_secs(4);
+
+impl Cluster {
+    /// A report, or the body of a direct answer (`beat` false: it renews no lease).
+    pub fn on_report(&mut self, now: Instant, r: Report, beat: bool) -> Answer {
+        if r.epoch.term() > self.term {
+            return Answer::Superseded(r.epoch.term());
+        }
+        if beat {
+            self.last_beat = Some(now);
+        }
+        if self.tombstones.contains(&r.host) {
+            return Answer::Ignore;
+        }
+        let term = self.term;
+        let h = self.hosts.entry(r.host.clone()).or_insert_with(|| {
+            log::info!(
+                "host appears host={} type={} site={}",
+                r.host,
+                r.host_type,
+                r.site
+            );
+            Host::new(
+                r.host.clone(),
+                r.host_type.clone(),
+                r.site.clone(),
+                r.spot,
+                term,
+                now,
+            )
+        });
+        if h.floor.is_some_and(|f| r.epoch < f) {
+            // The predecessor's.
+            return Answer::Accept {
+                epoch: h.epoch,
+                directives: Vec::new(),
+            };
+        }
+        if h.reported && (r.tenure, r.serial) <= (h.tenure, h.serial) {
+            let silent =
+                now.saturating_duration_since(h.last_heard) > self.params.report.mul_f64(2.5);
+            let restarted = h.restart_probe.is_some_and(|p| r.epoch >= p);
+            if !restarted {
+                // Overtaken by a newer message, or a late copy: nothing is learned from it. When it
+                // is a live worker's report that crossed a direct command, its answer renews the
+                // lease, counted from its sending; that was before the newer message came.
+                if beat {
+                    h.last_answer = h.last_answer.max(Some(h.last_heard));
+                }
+                // Or the machine was restarted under its name and counts from the beginning. No
+                // copy can show a token that was first given out after it was sent.
+                if silent && beat && h.restart_probe.is_none() {
+                    h.epoch = h.epoch.next();
+                    h.restart_probe = Some(h.epoch);
+                }
+                return Answer::Accept {
+                    epoch: h.epoch,
+                    directives: Vec::new(),
+                };
+            }
+            log::info!("host was restarted host={}", r.host);
+            h.floor = h.restart_probe;
+            h.images.clear();
+            h.fetching.clear();
+            h.last_answer = h.last_answer.max(Some(now));
+        }
+        h.restart_probe = None;
+        if !h.reported {
+            h.idle_since = h.placed.is_empty().then_some(now);
+            h.avoid_until = None;
+        }
+        if let Some(since) = h.booting.take() {
+            let took = now.saturating_duration_since(since);
+            self.capacity.booted(&r.host_type, took, r.spot);
+            log::info!(
+                "host is up host={} type={} site={}",
+                r.host,
+                r.host_type,
+                r.site
+            );
+        }
+        let new_tenure = r.tenure > h.tenure && h.reported;
+        if !h.reported || r.tenure != h.tenure {
+            self.round_due = true;
+        }
+        h.reported = true;
+        h.host_type = r.host_type.clone();
+        h.site = r.site.clone();
+        h.spot = r.spot;
+        h.endpoint = r.endpoint.clone();
+        h.tenure = r.tenure;
+        h.serial = r.serial;
+        h.last_heard = now;
+        h.lease_spent = false;
+        if r.epoch.term() == term {
+            h.fenced = true;
+            h.epoch = h.epoch.max(r.epoch);
+            if h.must_show.is_some_and(|(e, _)| r.epoch >= e) {
+                h.must_show = None;
+            }
+        }
+        if new_tenure {
+            h.images.clear();
+            h.fetching.clear();
+            // The new session's lease runs from its beginning, which is not long before now. Counted
+            // from the last answer of the old one, it would seem to have run out under tasks that
+            // direct commands start in the new session.
+            h.last_answer = h.last_answer.max(Some(now));
+            // Reports that were answered, and yet its lease ran out.
+            h.doubt(now);
+        }
+        h.eviction = match (r.eviction, h.eviction) {
+            (Some(d), _) => {
+                if h.eviction.is_none() {
+                    log::info!(
+                        "host will be taken host={} in_s={:.1}",
+                        r.host,
+                        d.as_secs_f64()
+                    );
+                    self.round_due = true;
+                }
+                Some(now + d)
+            }
+            (None, old) => old,
+        };
+        let mut strays = Vec::new();
+        let mut forgets = Vec::new();
+        let mut foreign = Need::default();
+        let mut listed: HashSet<(TaskId, Attempt)> = HashSet::with_capacity(r.tasks.len());
+        for t in &r.tasks {
+            listed.insert((t.task.clone(), t.attempt));
+            let job = self.jobs.get(&t.task.uid);
+            let matches = job
+                .and_then(|j| j.active.get(&t.task.index))
+                .is_some_and(|a| a.attempt == t.attempt && a.host == r.host);
+            let held = job.is_some_and(|j| j.is_held(t.task.index, t.attempt));
+            match t.phase {
+                TaskPhase::Ended(exit) if matches => {
+                    self.ended(now, &r, &t.task, exit);
+                }
+                TaskPhase::Ended(_) if !held => forgets.push(Directive::Forget {
+                    task: t.task.clone(),
+                    attempt: t.attempt,
+                }),
+                TaskPhase::Ended(_) => {}
+                phase if matches => self.progress(now, &r, &t.task, phase),
+                _ => {
+                    // No intent of any term names it: a command that came late.
+                    if let Some(j) = job {
+                        foreign.add(&j.spec.need);
+                    }
+                    strays.push(Directive::Kill {
+                        task: t.task.clone(),
+                        attempt: t.attempt,
+                        wind_down: Duration::ZERO,
+                    });
+                }
+            }
+        }
+        self.prove_absent(now, &r, &listed);
+        self.heeded(now, &r, &listed);
+        let Some(h) = self.hosts.get_mut(&r.host) else {
+            return Answer::Ignore;
+        };
+        h.foreign = foreign;
+        if beat {
+            h.last_answer = Some(now);
+        }
+        let mut directives = strays;
+        // After a forget the worker would take a late copy of the launch for a new one, so the same
+        // answer raises the token past every launch that went out before.
+        if !forgets.is_empty() {
+            h.epoch = h.epoch.next();
+        }
+        directives.extend(forgets);
+        self.directives(now, &r.host, Some(&listed), &mut directives);
+        directives.truncate(MOST_DIRECTIVES);
+        let h = &self.hosts[&r.host];
+        Answer::Accept {
+            epoch: h.epoch,
+            directives,
+        }
+    }
+
+    pub(super) fn progress(&mut self, now: Instant, r: &Report, task: &TaskId, phase: TaskPhase) {
+        let cache = self.host_type(&r.host_type).map_or(0.0, |t| t.cache_gb);
+        let nominal = self
+            .host_type(&r.host_type)
+            .map_or(0.0, |t| t.fetch_gb_per_s);
+        let Some(job) = self.jobs.get_mut(&task.uid) else {
+            return;
+        };
+        let (image, gb) = (job.image, job.spec.image_gb);
+        let Some(a) = job.active.get_mut(&task.index) else {
+            return;
+        };
+        a.tenure = Some(r.tenure);
+        let first = a.seen.is_none();
+        let was_fetching = matches!(a.seen, None | Some(TaskPhase::Fetching));
+        a.seen = Some(phase);
+        match phase {
+            TaskPhase::Fetching => {
+                if let Some(h) = self.hosts.get_mut(&r.host) {
+                    h.fetching.entry(image).or_insert((now, gb));
+                }
+            }
+            _ => {
+                let (host, placed) = (r.host.clone(), a.placed);
+                let mut started = false;
+                if phase == TaskPhase::Running && a.running_since.is_none() {
+                    a.running_since = Some(now);
+                    // Seen running at once after a takeover: when it started is not known.
+                    a.measured = !first || a.launch_epoch.term() == r.epoch.term();
+                    started = a.measured;
+                }
+                if started {
+                    self.waits.push(now.saturating_duration_since(placed));
+                }
+                if let Some(h) = self.hosts.get_mut(&host) {
+                    if was_fetching {
+                        if let Some((since, gb)) = h.fetching.get(&image).copied() {
+                            if h.fetching.len() == 1 && !first {
+                                let took = now.saturating_duration_since(since);
+                                self.history.fetched(&r.host_type, nominal, gb, took);
+                            }
+                        }
+                    }
+                    h.cached(image, gb, cache);
+                }
+            }
+        }
+    }
+
+    pub(super) fn ended(&mut self, now: Instant, r: &Report, task: &TaskId, exit: Exit) {
+        let uid = &task.uid;
+        let Some(a) = self.gone(now, uid, task.index, exit == Exit::Done) else {
+            return;
+        };
+        log::debug!("task ended task={task} host={} exit={exit:?}", r.host);
+        let ran = a
+            .running_since
+            .filter(|_| a.measured)
+            .map(|s| now.saturating_duration_since(s));
+        let Some(job) = self.jobs.get_mut(uid) else {
+            return;
+        };
+        let h = self.hosts.get_mut(&r.host);
+        match exit {
+            Exit::Done => {
+                job.unknowns = 0;
+                if let Some(h) = h {
+                    h.failed_jobs.clear();
+                    if let Some(took) = ran.filter(|_| a.kill.is_none()) {
+                        let est = a.est.as_secs_f64().max(0.1);
+                        let known = job.done_count > 1;
+                        if known {
+                            let ratio = (took.as_secs_f64().max(0.1) / est).ln();
+                            h.slowness.add(ratio.clamp(-1.0, 3.0));
+                        }
+                    }
+                }
+                if let Some(took) = ran {
+                    if !job.progress.contains_key(&task.index) {
+                        self.history.ran(&job.spec, &r.host_type, took);
+                    }
+                }
+            }
+            Exit::Stopped { stored } => {
+                if let Some(took) = ran.filter(|_| job.spec.saves()) {
+                    let every = job.spec.snapshot_every.as_secs_f64();
+                    let kept = if stored {
+                        took.as_secs_f64()
+                    } else {
+                        (took.as_secs_f64() / every).floor() * every
+                    };
+                    *job.progress.entry(task.index).or_default() += Duration::from_secs_f64(kept);
+                }
+            }
+            Exit::Error => {
+                job.errors += 1;
+                job.error_hosts.insert(r.host.clone());
+                log::info!(
+                    "task failed task={task} host={} failures={}",
+                    r.host,
+                    job.errors
+                );
+                // One job that fails on different hosts is itself at fault and waits ever longer.
+                if job.error_hosts.len() >= 3 {
+                    let wait = 2u64.pow(job.errors.min(5)).min(30);
+                    job.backoff_until = Some(now + Duration::from_secs(wait));
+                }
+                let widespread = job.error_hosts.len() >= 3;
+                if let Some(h) = h {
+                    if !widespread {
+                        h.failed_jobs.insert(uid.clone());
+                    }
+                    h.avoid_until = Some(now + Duration::from_secs(15));
+                    if h.failed_jobs.len() >= 2 && !h.quarantined {
+                        log::info!("host is quarantined host={}", h.id);
+                        h.quarantined = true;
+                    }
+                }
+            }
+            Exit::NoRoom | Exit::InUse => {
+                if let Some(h) = h {
+                    h.avoid_until = Some(now + Duration::from_secs(4));
+                }
+            }
+            Exit::Unknown => {
+                // The worker could not fetch the description (yet): soon again, then ever later.
+                job.unknowns += 1;
+                let wait = 500u64 << job.unknowns.min(5);
+                job.backoff_until = Some(now + Duration::from_millis(wait));
+            }
+            Exit::Peers | Exit::Incomplete => {}
+        }
+    }
+
+    /// Whether the report shows what the host was told a while ago. A machine whose reports come
+    /// through while nothing reaches it would otherwise be given task after task.
+    pub(super) fn heeded(&mut self, now: Instant, r: &Report, listed: &HashSet<(TaskId, Attempt)>) {
+        let patience = self.params.report.max(HEED_LEAST);
+        let Some(h) = self.hosts.get(&r.host) else {
+            return;
+        };
+        let long = |t: Instant| now.saturating_duration_since(t) > patience;
+        let ignored = h.placed.keys().any(|t| {
+            let a = self.jobs.get(&t.uid).and_then(|j| j.active.get(&t.index));
+            a.is_some_and(|a| {
+                let shown = listed.contains(&(t.clone(), a.attempt));
+                let lost = !shown && a.kill.is_none() && a.given.is_some_and(long);
+                let kill = a.kill.as_ref();
+                let runs = a.seen != Some(TaskPhase::Flushing);
+                lost || (shown && runs && kill.is_some_and(|k| long(k.since + k.wind_down)))
+            })
+        });
+        if ignored {
+            if let Some(h) = self.hosts.get_mut(&r.host) {
+                h.doubt(now);
+            }
+        }
+    }
+
+    /// Attempts placed on this host that its report does not list.
+    pub(super) fn prove_absent(
+        &mut self,
+        now: Instant,
+        r: &Report,
+        listed: &HashSet<(TaskId, Attempt)>,
+    ) {
+        let Some(h) = self.hosts.get(&r.host) else {
+            return;
+        };
+        let mut gone = Vec::new();
+        let mut fence = false;
+        for task in h.placed.keys() {
+            let Some(a) = self
+                .jobs
+                .get(&task.uid)
+                .and_then(|j| j.active.get(&task.index))
+            else {
+                continue;
+            };
+            if !a.durable || listed.contains(&(task.clone(), a.attempt)) {
+                continue;
+            }
+            let earlier = a.tenure.is_some_and(|t| t < r.tenure) && a.launch_epoch != Epoch(0);
+            let unwanted = a.kill.is_some() || h.returning || h.eviction.is_some();
+            if earlier {
+                // The worker began a new session and killed what it had; commands of the old
+                // session no longer match.
+                gone.push(task.clone());
+            } else if unwanted {
+                if r.epoch > a.launch_epoch && r.epoch.term() == self.term {
+                    gone.push(task.clone());
+                } else {
+                    fence |= h.epoch <= a.launch_epoch;
+                }
+            } else if a.seen.is_some() && r.epoch.term() == self.term && r.epoch > a.launch_epoch {
+                gone.push(task.clone());
+            }
+        }
+        if fence {
+            if let Some(h) = self.hosts.get_mut(&r.host) {
+                h.epoch = h.epoch.next();
+            }
+        }
+        for t in gone {
+            log::debug!("task is proved absent task={t} host={}", r.host);
+            self.gone(now, &t.uid, t.index, false);
+        }
+    }
+
+    /// Launches and kills that this host has not shown to have taken.
+    pub(super) fn directives(
+        &mut self,
+        now: Instant,
+        host: &HostId,
+        listed: Option<&HashSet<(TaskId, Attempt)>>,
+        out: &mut Vec<Directive>,
+    ) {
+        let Some(h) = self.hosts.get(host) else {
+            return;
+        };
+        let epoch = h.epoch;
+        let leaving = h.returning || h.eviction.is_some();
+        let tasks: Vec<TaskId> = h.placed.keys().cloned().collect();
+        let tenure = h.tenure;
+        for task in tasks {
+            let Some(job) = self.jobs.get_mut(&task.uid) else {
+                continue;
+            };
+            let over = job.withdrawn || job.finished;
+            let Some(a) = job.active.get_mut(&task.index) else {
+                continue;
+            };
+            if !a.durable {
+                continue;
+            }
+            let known = match listed {
+                Some(l) => l.contains(&(task.clone(), a.attempt)),
+                None => a.seen.is_some(),
+            };
+            if let Some(k) = &a.kill {
+                // Repeated without what has passed of the grace, so that repeats do not extend it.
+                let left = k
+                    .wind_down
+                    .saturating_sub(now.saturating_duration_since(k.since));
+                let saving = a.seen == Some(TaskPhase::Flushing);
+                if (known || listed.is_none()) && (!saving || k.wind_down.is_zero()) {
+                    let wind_down = if saving { left } else { k.wind_down };
+                    out.push(Directive::Kill {
+                        task,
+                        attempt: a.attempt,
+                        wind_down,
+                    });
+                }
+            } else if !known && !over && !leaving {
+                a.launch_epoch = a.launch_epoch.max(epoch);
+                a.tenure = Some(tenure);
+                a.given.get_or_insert(now);
+                out.push(Directive::Launch {
+                    task,
+                    attempt: a.attempt,
+                });
+            }
+            if out.len() >= MOST_DIRECTIVES {
+                break;
+            }
+        }
+    }
+
+    /// A direct command's answer, or None when there was none.
+    pub fn on_sent(&mut self, now: Instant, host: &HostId, report: Option<Report>) -> Option<Term> {
+        if let Some(h) = self.hosts.get_mut(host) {
+            h.sending = false;
+        }
+        match report {
+            Some(r) if &r.host == host => match self.on_report(now, r, false) {
+                Answer::Superseded(t) => Some(t),
+                Answer::Accept { directives, .. } => {
+                    // Forgets can wait for the next report; launches and kills cannot.
+                    if directives
+                        .iter()
+                        .any(|d| !matches!(d, Directive::Forget { .. }))
+                    {
+                        self.urgent.insert(host.clone());
+                    }
+                    None
+                }
+                Answer::Ignore => None,
+            },
+            _ => None,
+        }
+    }
+
+    pub(super) fn send_urgent(&mut self, now: Instant) {
+        for host in std::mem::take(&mut self.urgent) {
+            let Some(h) = self.hosts.get(&host) else {
+                continue;
+            };
+            if h.sending {
+                self.urgent.insert(host);
+                continue;
+            }
+            // A silent host would only hold a sender up: the next report carries the commands.
+            let silent = now.saturating_duration_since(h.last_heard) > self.params.report * 2;
+            if !h.reported || h.endpoint.is_empty() || silent {
+                continue;
+            }
+            // A launch still in flight would come after its kill: the raised token shuts it out.
+            let unseen = h.placed.keys().any(|t| {
+                let a = self.jobs.get(&t.uid).and_then(|j| j.active.get(&t.index));
+                a.is_some_and(|a| a.durable && a.kill.is_some() && a.seen.is_none())
+            });
+            if unseen {
+                if let Some(h) = self.hosts.get_mut(&host) {
+                    h.epoch = h.epoch.next();
+                }
+            }
+            let mut directives = Vec::new();
+            self.directives(now, &host, None, &mut directives);
+            if directives.is_empty() {
+                continue;
+            }
+            let Some(h) = self.hosts.get_mut(&host) else {
+                continue;
+            };
+            h.sending = true;
+            self.actions.push(Action::Send {
+                host: host.clone(),
+                endpoint: h.endpoint.clone(),
+                epoch: h.epoch,
+                tenure: h.tenure,
+                directives,
+            });
+        }
+    }
+}
--- /dev/null
+++ b/src/runtime/clerks.rs
@@ -0,0 +1,128 @@
+//! The duties towards the cloud: rentals and returns, machine types, the list of machines.
+
+use super::budget::{Bucket, Rank};
+use super::duties::{CloudOrder, Event};
+use super::service::Shared;
+use super::view::RoleView;
+use crate::core::capacity::Rented;
+use crate::core::ledger;
+use crate::core::model::*;
+use crate::net::store::{Change, Content};
+use crate::net::wire;
+use crossbeam::channel::Receiver;
+use std::time::{Duration, Instant};
+
+/// Carries out rentals and returns, in order, within the cloud's rate.
+pub fn cloud_clerk(shared: &Shared, bucket: &Bucket, orders: &Receiver<CloudOrder>) {
+    while let Ok(order) = orders.recv() {
+        while !bucket.take(1.0) {
+            if shared.stop.wait(Duration::from_millis(150)) {
+                return;
+            }
+        }
+        let event = match order {
+            CloudOrder::Rent(term, r) => {
+                // What is rented in doubt is adopted by whoever leads.
+                let leads = shared.view.read().role == RoleView::Leader(term);
+                let outcome = if leads {
+                    shared.cloud.rent(&r)
+                } else {
+                    Rented::Unknown
+                };
+                if outcome == Rented::NoCapacity {
+                    log::info!(
+                        "no capacity type={} site={} spot={}",
+                        r.host_type,
+                        r.site,
+                        r.preemptible
+                    );
+                }
+                Event::Rented(term, r.claim, outcome)
+            }
+            CloudOrder::Return(term, hosts) => {
+                // One that waited through a cut must not take machines that work for a new leader.
+                let leads = shared.view.surely_leads(term, Instant::now());
+                let ok = leads && shared.cloud.give_back(&hosts);
+                Event::Returned(term, hosts, ok)
+            }
+        };
+        if shared.events.send(event).is_err() {
+            return;
+        }
+    }
+}
+
+/// Reads the machine types and the list of machines, while this node leads.
+pub fn cloud_reader(shared: &Shared, bucket: &Bucket, wake: &Receiver<()>) {
+    let mut next_types = Instant::now();
+    let mut next_list = Instant::now();
+    while !shared.stop.stopped() {
+        // Woken by a takeover.
+        let _ = wake.recv_timeout(Duration::from_millis(1000));
+        let RoleView::Leader(term) = shared.view.read().role.clone() else {
+            next_types = Instant::now();
+            next_list = Instant::now();
+            continue;
+        };
+        let now = Instant::now();
+        if now >= next_list && bucket.take(1.0) {
+            next_list = now + Duration::from_secs(15);
+            read_list(shared, term, bucket);
+        }
+        if now >= next_types && bucket.take(1.0) {
+            next_types = now + Duration::from_secs(5);
+            if let Some(t) = shared.cloud.types() {
+                next_types = now + Duration::from_secs(120);
+                let types: Vec<HostType> =
+                    t.host_types.iter().filter_map(|t| t.to_type()).collect();
+                if !types.is_empty() {
+                    keep_types(shared, term, t);
+                    shared.view.write().types = types.clone();
+                    let _ = shared.events.send(Event::Types(types));
+                }
+            }
+        }
+    }
+}
+
+fn read_list(shared: &Shared, term: Term, bucket: &Bucket) {
+    let mut from = String::new();
+    let mut all = Vec::new();
+    while let Some((page, more)) = shared.cloud.list(&from) {
+        if let Some(last) = page.last() {
+            from = last.id.0.clone();
+        }
+        let end = !more || page.is_empty();
+        all.extend(page);
+        if end || !bucket.take(1.0) {
+            break;
+        }
+    }
+    if !all.is_empty() {
+        let _ = shared.events.send(Event::Listed(term, all));
+    }
+}
+
+/// Machine types outlive the cloud's outages in the state service.
+fn keep_types(shared: &Shared, term: Term, types: wire::WireTypes) {
+    let limit = Duration::from_millis(1500);
+    let rank = Rank::Leader;
+    let Ok(Some(leader)) = shared
+        .store
+        .get::<wire::StoredLeader>(ledger::LEADER_KEY, rank, limit)
+    else {
+        return;
+    };
+    if leader.value.term != term.0 {
+        return;
+    }
+    let conditions = [(ledger::LEADER_KEY.to_owned(), leader.stamp)];
+    let change = Change::Put {
+        key: ledger::TYPES_KEY,
+        value: Content::Types(types),
+        permit: None,
+    };
+    if let Err(e) = shared.store.txn(&conditions, vec![change], rank, limit) {
+        log::info!("machine types not kept why=\"{e}\"");
+    }
+}
--- a/src/runtime/duties.rs
+++ b/src/runtime/duties.rs
@@ -1,24 +1,19 @@
-//! The routines that serve a leader: the core's loop, the queue's feed, the store's writer, the
-//! cloud's clerk, the senders of direct commands, and the announcer to the peers.
+//! The routines that serve a leader: the core's loop, the queue's feed and the store's writer.
 
-use super::budget::{Bucket, Rank};
+use super::budget::Rank;
 use super::elector::Sign;
 use super::service::Shared;
 use super::stop::Stop;
-use super::view::RoleView;
 use crate::core::capacity::Rented;
 use crate::core::cluster::{Action, Answer, Cluster};
 use crate::core::ledger::{self, Batch, BatchOutcome, Verdict};
 use crate::core::model::*;
-use crate::net::peer::{Ask, Hello, Peer, Reply};
-use crate::net::store::{Change, Content, StoreError, Txn};
-use crate::net::wire::{self, RentRequest, StoredJob, StoredVerdict};
-use crate::net::{agent, peer};
+use crate::net::store::{StoreError, Txn};
+use crate::net::wire::{RentRequest, StoredJob, StoredVerdict};
 use crossbeam::channel::{Receiver, Sender};
 use serde::de::IgnoredAny;
 use serde::Deserialize;
 use std::collections::HashMap;
-use std::net::TcpListener;
 use std::time::{Duration, Instant};
 
 /// What the core's loop hears.
@@ -43,13 +38,13 @@
 }
 
 pub struct SendOrder {
-    term: Term,
-    host: HostId,
-    endpoint: String,
-    what: Order,
+    pub term: Term,
+    pub host: HostId,
+    pub endpoint: String,
+    pub what: Order,
 }
 
-enum Order {
+pub enum Order {
     Commands(Epoch, u64, Vec<Directive>),
 }
 
@@ -420,326 +415,6 @@
     BatchOutcome::Failed { found }
 }
 
-/// Carries out rentals and returns, in order, within the cloud's rate.
-pub fn cloud_clerk(shared: &Shared, bucket: &Bucket, orders: &Receiver<CloudOrder>) {
-    while let Ok(order) = orders.recv() {
-        while !bucket.take(1.0) {
-            if shared.stop.wait(Duration::from_millis(150)) {
-                return;
-            }
-        }
-        let event = match order {
-            CloudOrder::Rent(term, r) => {
-                // What is rented in doubt is adopted by whoever leads.
-                let leads = shared.view.read().role == RoleView::Leader(term);
-                let outcome = if leads {
-                    shared.cloud.rent(&r)
-                } else {
-                    Rented::Unknown
-                };
-                if outcome == Rented::NoCapacity {
-                    log::info!(
-                        "no capacity type={} site={} spot={}",
-                        r.host_type,
-                        r.site,
-                        r.preemptible
-                    );
-                }
-                Event::Rented(term, r.claim, outcome)
-            }
-            CloudOrder::Return(term, hosts) => {
-                // One that waited through a cut must not take machines that work for a new leader.
-                let leads = shared.view.surely_leads(term, Instant::now());
-                let ok = leads && shared.cloud.give_back(&hosts);
-                Event::Returned(term, hosts, ok)
-            }
-        };
-        if shared.events.send(event).is_err() {
-            return;
-        }
-    }
-}
-
-/// Reads the machine types and the list of machines, while this node leads.
-pub fn cloud_reader(shared: &Shared, bucket: &Bucket, wake: &Receiver<()>) {
-    let mut next_types = Instant::now();
-    let mut next_list = Instant::now();
-    while !shared.stop.stopped() {
-        // Woken by a takeover.
-        let _ = wake.recv_timeout(Duration::from_millis(1000));
-        let RoleView::Leader(term) = shared.view.read().role.clone() else {
-            next_types = Instant::now();
-            next_list = Instant::now();
-            continue;
-        };
-        let now = Instant::now();
-        if now >= next_list && bucket.take(1.0) {
-            next_list = now + Duration::from_secs(15);
-            read_list(shared, term, bucket);
-        }
-        if now >= next_types && bucket.take(1.0) {
-            next_types = now + Duration::from_secs(5);
-            if let Some(t) = shared.cloud.types() {
-                next_types = now + Duration::from_secs(120);
-                let types: Vec<HostType> =
-                    t.host_types.iter().filter_map(|t| t.to_type()).collect();
-                if !types.is_empty() {
-                    keep_types(shared, term, t);
-                    shared.view.write().types = types.clone();
-                    let _ = shared.events.send(Event::Types(types));
-                }
-            }
-        }
-    }
-}
-
-fn read_list(shared: &Shared, term: Term, bucket: &Bucket) {
-    let mut from = String::new();
-    let mut all = Vec::new();
-    while let Some((page, more)) = shared.cloud.list(&from) {
-        if let Some(last) = page.last() {
-            from = last.id.0.clone();
-        }
-        let end = !more || page.is_empty();
-        all.extend(page);
-        if end || !bucket.take(1.0) {
-            break;
-        }
-    }
-    if !all.is_empty() {
-        let _ = shared.events.send(Event::Listed(term, all));
-    }
-}
-
-/// Machine types outlive the cloud's outages in the state service.
-fn keep_types(shared: &Shared, term: Term, types: wire::WireTypes) {
-    let limit = Duration::from_millis(1500);
-    let rank = Rank::Leader;
-    let Ok(Some(leader)) = shared
-        .store
-        .get::<wire::StoredLeader>(ledger::LEADER_KEY, rank, limit)
-    else {
-        return;
-    };
-    if leader.value.term != term.0 {
-        return;
-    }
-    let conditions = [(ledger::LEADER_KEY.to_owned(), leader.stamp)];
-    let change = Change::Put {
-        key: ledger::TYPES_KEY,
-        value: Content::Types(types),
-        permit: None,
-    };
-    if let Err(e) = shared.store.txn(&conditions, vec![change], rank, limit) {
-        log::info!("machine types not kept why=\"{e}\"");
-    }
-}
-
-/// Sends direct commands. The followers do the sending where they can: the leader's processor is the
-/// one that binds.
-pub fn send_commands(shared: &Shared, client: &ureq::Agent, orders: &Receiver<SendOrder>) {
-    while let Ok(o) = orders.recv() {
-        let Order::Commands(epoch, tenure, directives) = &o.what;
-        let body = agent::encode(*epoch, *tenure, directives);
-        let answer = match helper(shared, &o.host) {
-            Some(p) => through_peer(p, client, &o.endpoint, body),
-            None => agent::deliver(client, &o.endpoint, &body),
-        };
-        let report = answer.and_then(|b| agent::report(&b));
-        let event = Event::Sent(o.term, o.host, report);
-        if shared.events.send(event).is_err() {
-            return;
-        }
-    }
-}
-
-/// The peer that sends to this host: always the same one, so that its connections are used again.
-fn helper<'a>(shared: &'a Shared, host: &HostId) -> Option<&'a Peer> {
-    let now = Instant::now();
-    let live = shared.view.live_peers(now);
-    let able: Vec<&std::sync::Arc<Peer>> = shared
-        .peers
-        .iter()
-        .filter(|p| p.delivers(now) && live.iter().any(|(m, _)| m == &p.member))
-        .collect();
-    if able.is_empty() {
-        return None;
-    }
-    let n = ImageKey::of(&host.0).0 as usize % able.len();
-    Some(able[n])
-}
-
-fn through_peer(
-    peer: &Peer,
-    client: &ureq::Agent,
-    endpoint: &str,
-    body: Vec<u8>,
-) -> Option<Vec<u8>> {
-    let ask = Ask::Command {
-        endpoint: endpoint.to_owned(),
-        body,
-    };
-    let limit = agent::LIMIT + Duration::from_millis(500);
-    let answer = peer.ask(&ask, limit);
-    let now = Instant::now();
-    match answer {
-        Ok(Reply::Command(answer)) => {
-            peer.delivered(answer.is_some(), now);
-            answer
-        }
-        Ok(_) => None,
-        Err(e) => {
-            peer.delivered(false, now);
-            let Ask::Command { body, .. } = ask else {
-                return None;
-            };
-            // A refusal came at once, so there is time to send it ourselves.
-            let refused = e.kind() == std::io::ErrorKind::ConnectionRefused;
-            refused
-                .then(|| agent::deliver(client, endpoint, &body))
-                .flatten()
-        }
-    }
-}
-
-fn hello(shared: &Shared, progress: Vec<(String, u32, u32)>, over: Vec<String>) -> Hello {
-    let now = Instant::now();
-    let i = shared.view.read();
-    let leads = match i.role {
-        RoleView::Leader(t) => Some(t.0),
-        RoleView::Follower(_) => None,
-    };
-    let highest = i.highest.0;
-    drop(i);
-    Hello {
-        member: shared.settings.member.clone(),
-        leads,
-        highest,
-        store_ok: shared.view.store_ok(now),
-        workers: shared.workers.count(now),
-        progress,
-        over,
-    }
-}
-
-/// Tells one peer each second who we are, and as leader how the jobs stand.
-pub fn announce(shared: &Shared, peer: &Peer) {
-    let mut told: HashMap<Uid, (u32, u32)> = HashMap::new();
-    while !shared.stop.wait(Duration::from_millis(1000)) {
-        let mut progress = Vec::new();
-        let mut over = Vec::new();
-        {
-            let i = shared.view.read();
-            if matches!(i.role, RoleView::Leader(_)) {
-                for (uid, counts) in &i.progress {
-                    if told.get(uid) != Some(counts) && progress.len() < 2000 {
-                        progress.push((uid.0.clone(), counts.0, counts.1));
-                    }
-                }
-                for uid in told.keys().filter(|u| !i.progress.contains_key(*u)) {
-                    over.push(uid.0.clone());
-                }
-            } else {
-                told.clear();
-            }
-        }
-        let ask = Ask::Hello(hello(shared, progress.clone(), over.clone()));
-        match peer.ask(&ask, Duration::from_millis(1500)) {
-            Ok(Reply::Hello(h)) => {
-                heard_hello(shared, &h);
-                for (uid, d, r) in progress {
-                    told.insert(Uid(uid), (d, r));
-                }
-                for uid in over {
-                    told.remove(&Uid(uid));
-                }
-            }
-            Ok(_) => {}
-            Err(_) => {
-                // It may have missed some, or be a new life that knows none.
-                told.clear();
-            }
-        }
-    }
-}
-
-fn heard_hello(shared: &Shared, h: &Hello) {
-    let now = Instant::now();
-    shared.view.peer_said(&h.member, h.store_ok, h.workers, now);
-    if let Some(term) = h.leads {
-        let own = shared.view.read().highest;
-        if Term(term) > own {
-            let _ = shared.signs.send(Sign::Term(Term(term)));
-        }
-    }
-}
-
-/// Answers one peer's frames.
-pub fn answer_peer(shared: &Shared, mut stream: std::net::TcpStream) {
-    let _ = stream.set_nodelay(true);
-    // A peer says hello each second: one that is silent for this long is gone.
-    let _ = stream.set_read_timeout(Some(Duration::from_secs(30)));
-    let _ = stream.set_write_timeout(Some(Duration::from_secs(5)));
-    while !shared.stop.stopped() {
-        let Ok(ask) = peer::read_frame::<Ask>(&mut stream) else {
-            return;
-        };
-        let reply = match ask {
-            Ask::Hello(h) => {
-                heard_hello(shared, &h);
-                if h.leads.is_some() && !matches!(shared.view.read().role, RoleView::Leader(_)) {
-                    let mut i = shared.view.write();
-                    for (uid, d, r) in h.progress {
-                        i.progress.insert(Uid(uid), (d, r));
-                    }
-                    for uid in h.over {
-                        i.progress.remove(&Uid(uid));
-                    }
-                }
-                Reply::Hello(hello(shared, Vec::new(), Vec::new()))
-            }
-            Ask::Beats(bodies) => Reply::Beats(shared.local_beats(&bodies)),
-            Ask::Command { endpoint, body } => {
-                Reply::Command(agent::deliver(&shared.agent, &endpoint, &body))
-            }
-        };
-        if peer::write_frame(&mut stream, &reply).is_err() {
-            return;
-        }
-    }
-}
-
-pub fn listen_peers(shared: &std::sync::Arc<Shared>, listener: &TcpListener) {
-    let most = shared.settings.sockets().peers;
-    let open = std::sync::Arc::new(std::sync::atomic::AtomicUsize::new(0));
-    while !shared.stop.stopped() {
-        match listener.accept() {
-            Ok((stream, _)) => {
-                use std::sync::atomic::Ordering::Relaxed;
-                if open.fetch_add(1, Relaxed) >= most {
-                    open.fetch_sub(1, Relaxed);
-                    continue;
-                }
-                let (s, count) = (shared.clone(), open.clone());
-                let spawned = std::thread::Builder::new()
-                    .name("peer".into())
-                    .stack_size(256 * 1024)
-                    .spawn(move || {
-                        answer_peer(&s, stream);
-                        count.fetch_sub(1, Relaxed);
-                    });
-                if spawned.is_err() {
-                    open.fetch_sub(1, Relaxed);
-                }
-            }
-            Err(e) => {
-                log::warn!("no connection from a peer why=\"{e}\"");
-                shared.stop.wait(Duration::from_millis(200));
-            }
-        }
-    }
-}
-
 /// What a verdict is called in answers.
 pub fn verdict_name(v: Verdict, running: u32) -> &'static str {
     match v {
--- a/src/runtime/service.rs
+++ b/src/runtime/service.rs
@@ -1,9 +1,11 @@
 //! One controller node: everything that its threads share, and how they are started and stopped.
 
 use super::budget::{Bucket, Turns};
+use super::clerks;
 use super::duties::{self, BeatReply, Event, Outlets};
 use super::elector::{self, Sign};
 use super::metrics::Meter;
+use super::peering;
 use super::stop::Stop;
 use super::view::{RoleView, View};
 use super::workers::Workers;
@@ -240,16 +242,16 @@
         let (s, b) = (shared.clone(), cloud_bucket.clone());
         spawn(
             "clerk",
-            Box::new(move || duties::cloud_clerk(&s, &b, &cloud_queue)),
+            Box::new(move || clerks::cloud_clerk(&s, &b, &cloud_queue)),
         )?;
         let s = shared.clone();
         spawn(
             "cloud",
-            Box::new(move || duties::cloud_reader(&s, &cloud_bucket, &wake_queue)),
+            Box::new(move || clerks::cloud_reader(&s, &cloud_bucket, &wake_queue)),
         )?;
         for _ in 0..agents {
             let (s, q) = (shared.clone(), order_queue.clone());
-            let send = move || duties::send_commands(&s, &s.agent, &q);
+            let send = move || peering::send_commands(&s, &s.agent, &q);
             spawn("agent", Box::new(send))?;
         }
         let s = shared.clone();
@@ -261,12 +263,12 @@
         spawn("elector", Box::new(move || elector::elect(&s, &sign_queue)))?;
         for p in shared.peers.clone() {
             let s = shared.clone();
-            spawn("announce", Box::new(move || duties::announce(&s, &p)))?;
+            spawn("announce", Box::new(move || peering::announce(&s, &p)))?;
         }
         let s = shared.clone();
         spawn(
             "peers",
-            Box::new(move || duties::listen_peers(&s, &peer_listener)),
+            Box::new(move || peering::listen_peers(&s, &peer_listener)),
         )?;
         front::serve(&shared, front_listener, &mut spawn)?;
         log::info!(
