A node that has lost the state service names no leader that it cannot reach

Ruled out: the new leader's processor share (its rounds took 7 ms), its token (accepted once a worker came). Now: without the state service a node that cannot relay answers 503, and the worker tries the next one. A test with three nodes guards against it; it fails without the change.

--- a/src/runtime/service.rs
+++ b/src/runtime/service.rs
@@ -144,11 +144,17 @@
         let told = match peer.map(|p| p.ask(&Ask::Beats(bodies), RELAY_LIMIT)) {
             Some(Ok(Reply::Beats(told))) if told.len() == places.len() => told,
             _ => {
-                // The workers may reach the leader where we do not.
                 for ip in senders {
                     self.workers.lost(ip);
                 }
-                vec![elsewhere(leader); places.len()]
+                // The workers may reach the leader where we do not. But without the state service our
+                // word is old: two nodes that name each other would keep workers from the third.
+                let answer = if self.view.store_ok(now) {
+                    elsewhere(leader)
+                } else {
+                    problem(503, "the leader is out of reach")
+                };
+                vec![answer; places.len()]
             }
         };
         for (n, a) in places.into_iter().zip(told) {
--- a/tests/end_to_end.rs
+++ b/tests/end_to_end.rs
@@ -229,6 +229,33 @@
     }
 }
 
+/// Guards against two nodes, both without the state service and their peers, that send workers to each
+/// other for good, while the third one leads.
+#[test]
+fn a_node_whose_word_is_old_names_no_leader() {
+    let site = Site::new(3);
+    let nodes: Vec<Service> = (0..3).map(|n| site.start(n)).collect();
+    let leader = |n: &Service| leads(n).is_some();
+    let old = until("one leads", || nodes.iter().position(leader));
+    let (follower, third) = ((old + 1) % 3, (old + 2) % 3);
+    let knows = |n: usize| {
+        let role = nodes[n].shared.view.read().role.clone();
+        matches!(role, RoleView::Follower(Some(_))).then_some(())
+    };
+    until("the follower knows it", || knows(follower));
+    site.cut(old);
+    site.cut(follower);
+    until("the third leads", || leader(&nodes[third]).then_some(()));
+    let report = map([("Host", t("i-2"))]);
+    until("workers are sent on, to nobody in particular", || {
+        let (status, _) = call("POST", site.names[follower].1, "/agent/beat", Some(&report));
+        (status == 503).then_some(())
+    });
+    for n in nodes {
+        n.stop();
+    }
+}
+
 #[test]
 fn every_accepted_job_ends_and_is_known_once_troubles_are_over() {
     let site = Site::new(2);
