--- a/src/core/capacity.rs
+++ b/src/core/capacity.rs
@@ -27,6 +27,9 @@
 pub(super) const DEAR: f64 = 1.5;
 /// How long work must wait before a dear machine is rented for it, unless that saves its deadline.
 pub(super) const DEAR_PATIENCE: Duration = Duration::from_secs(90);
+/// Some machines take much longer to boot than most: a start promised within so many boots counts as
+/// one that no new machine can keep.
+const BOOTS_FOR_A_START: u32 = 2;
 /// Jobs of a class that its typical size is taken from.
 pub(super) const RECENT_JOBS: usize = 20;
 /// A class is quiet after this many times the usual gap between its jobs, and this long at least.
@@ -338,19 +341,31 @@
         }
     }
 
-    /// Tasks of each class with a start aim that must find room at once: class's typical job.
+    /// Tasks of each class with a start aim that must find room at once: a class's typical job. A class
+    /// that is promised its start only after a machine can have come up needs none.
     pub(super) fn headroom(&self, now: Instant) -> Vec<(u32, Need)> {
-        let mut seen: Vec<&str> = Vec::new();
-        let mut out = Vec::new();
+        let mut promises: Vec<(&str, Duration)> = Vec::new();
         for o in self.params.objectives.iter().filter(|o| o.kind == "wait") {
             let Some(class) = o.class.as_deref() else {
                 continue;
             };
-            if seen.contains(&class) {
-                continue;
+            let within = o.within.unwrap_or_default();
+            match promises.iter_mut().find(|p| p.0 == class) {
+                Some(p) => p.1 = p.1.min(within),
+                None => promises.push((class, within)),
             }
-            seen.push(class);
-            if let Some((size, need)) = self.capacity.typical(now, class) {
+        }
+        let mut out = Vec::new();
+        for (class, within) in promises {
+            let Some((size, need)) = self.capacity.typical(now, class) else {
+                continue;
+            };
+            let suits = self.types.iter().filter(|t| need.count_in(&t.room) > 0);
+            let boot = suits.map(|t| self.capacity.boot_time(t)).max();
+            let deadline =
+                |o: &Objective| o.kind == "deadline" && o.class.as_deref() == Some(class);
+            let due = self.params.objectives.iter().any(deadline);
+            if due || boot.is_none_or(|b| within < b * BOOTS_FOR_A_START) {
                 let tasks = (f64::from(size) * self.params.tuning.headroom_jobs).ceil();
                 out.push((tasks as u32, need));
             }
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -517,6 +517,45 @@
     assert_ne!(other[0].0, first[0].0, "another kind, another claim");
 }
 
+/// Guards against whole machines kept idle for jobs that can wait for a boot.
+#[test]
+fn which_classes_have_room_kept_for_them() {
+    // The promised start, whether the class has deadlines, and whether a machine is kept ready.
+    let cases = [
+        (Some(5), false, true),
+        (Some(600), false, false),
+        (Some(600), true, true),
+        (None, true, false),
+    ];
+    for (start, deadline, kept) in cases {
+        let aim = |kind: &str, within| Objective {
+            kind: kind.into(),
+            class: Some("quick".into()),
+            within,
+        };
+        let mut p = params();
+        p.objectives = start
+            .map(|s| aim("wait", Some(secs(s))))
+            .into_iter()
+            .collect();
+        if deadline {
+            p.objectives.push(aim("deadline", None));
+        }
+        // No stand-in is looked for where ordinary machines cost no more.
+        let mut t = host_type("m8", 8.0);
+        t.hourly = t.low_price;
+        let mut w = World::with(p, vec![t]);
+        w.pass(secs(10));
+        w.beat("i-1", 1, vec![]);
+        // It takes the whole of the only machine.
+        let mut job = spec("wk-000001", 1, 8.0);
+        job.class = "quick".into();
+        w.job(job);
+        let rented = rentals(&w.settle());
+        assert_eq!(!rented.is_empty(), kept, "{start:?}, deadline {deadline}");
+    }
+}
+
 #[test]
 fn which_hosts_are_returned() {
     // Spot jobs aside: one host with a given history among others that report.
