--- a/src/core/entities.rs
+++ b/src/core/entities.rs
@@ -54,8 +54,10 @@
 pub struct Job {
     pub spec: JobSpec,
     pub image: ImageKey,
-    /// Stamp of the acceptance: arrival order, and the condition that nobody withdrew the job.
+    /// Stamp of the acceptance: arrival order.
     pub stamp: u64,
+    /// Stamp of the verdict's key, the condition that nobody withdrew the job: 0, it is absent.
+    pub verdict_stamp: u64,
     pub withdrawn: bool,
     pub withdrawn_at: Option<Instant>,
     pub finished: bool,
@@ -87,6 +89,7 @@
             image: ImageKey::of(&spec.image),
             spec,
             stamp,
+            verdict_stamp: 0,
             arrived,
             last_placed: arrived,
             starved: false,
--- /dev/null
+++ b/src/core/inquiry.rs
@@ -0,0 +1,131 @@
+//! What is known of many jobs at once, in as few questions to the state service as will do.
+//!
+//! A job that was accepted is live as long as its verdict's key is absent, and one whose two keys are
+//! both absent was never accepted. A transaction without changes compares many such keys in one call,
+//! so that the cost of questions follows the calls and not the questions. Only what has changed is
+//! read, and what is final never changes again.
+
+use super::ledger::{job_key, live_key, Verdict};
+use super::model::Uid;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+/// How a job stands. None: it was never accepted.
+pub type Standing = Option<Verdict>;
+
+/// Verdicts in the order of their keys, and whether there are more.
+pub type Page = (Vec<(String, Verdict)>, bool);
+
+/// What is read of the state service. Every call sees at least all that was written before it.
+pub trait Records {
+    type Error;
+    /// The keys that do not have these stamps (0: absent). It may name only some of them.
+    fn differing(&self, expected: &[(String, u64)]) -> Result<Vec<String>, Self::Error>;
+    /// Those after this key.
+    fn verdicts(&self, from: &str) -> Result<Page, Self::Error>;
+    fn verdict(&self, key: &str) -> Result<Option<Verdict>, Self::Error>;
+}
+
+/// Comparisons for one lot of questions. The first finds what has changed, the second settles the
+/// rest; more are needed only where not all changed keys are named.
+const COMPARISONS: usize = 5;
+/// From so many verdicts on, a page of them is cheaper than one after the other.
+const WORTH_A_PAGE: usize = 4;
+
+/// How many jobs one comparison can carry: two keys for each.
+pub fn most_at_once(conditions: usize, bytes: usize) -> usize {
+    /// A key with its stamp in a transaction's text, for the longest ids.
+    const BYTES: usize = 64;
+    (conditions.min(bytes / BYTES) / 2).max(1)
+}
+
+/// How these jobs stand, those that could not be asked about left out. `accepted` tells of which it is
+/// known that they were accepted; what is found out about that is added to it.
+pub fn standings<R: Records>(
+    records: &R,
+    asked: &BTreeSet<Uid>,
+    accepted: &mut BTreeSet<Uid>,
+) -> (HashMap<Uid, Standing>, Option<R::Error>) {
+    let mut found = HashMap::new();
+    let mut open: BTreeSet<Uid> = asked.clone();
+    // Their verdict's key exists.
+    let mut over: BTreeMap<String, Uid> = BTreeMap::new();
+    for _ in 0..COMPARISONS {
+        if open.is_empty() {
+            break;
+        }
+        let mut expected = Vec::with_capacity(open.len() * 2);
+        let mut keys: HashMap<String, (&Uid, bool)> = HashMap::new();
+        for uid in &open {
+            keys.insert(job_key(uid), (uid, true));
+            expected.push((job_key(uid), 0));
+            if !accepted.contains(uid) {
+                keys.insert(live_key(uid), (uid, false));
+                expected.push((live_key(uid), 0));
+            }
+        }
+        let differing = match records.differing(&expected) {
+            Ok(d) => d,
+            Err(e) => return (found, Some(e)),
+        };
+        if differing.is_empty() {
+            for uid in std::mem::take(&mut open) {
+                let live = accepted.contains(&uid).then_some(Verdict::Live);
+                found.insert(uid, live);
+            }
+            break;
+        }
+        let mut ended = Vec::new();
+        for key in differing {
+            match keys.get(&key) {
+                Some((uid, true)) => ended.push((key, (*uid).clone())),
+                Some((uid, false)) => {
+                    accepted.insert((*uid).clone());
+                }
+                None => {}
+            }
+        }
+        for (key, uid) in ended {
+            open.remove(&uid);
+            over.insert(key, uid);
+        }
+    }
+    let mut rest: Vec<(String, Uid)> = over.into_iter().collect();
+    while let Some((first, _)) = rest.first() {
+        if rest.len() >= WORTH_A_PAGE {
+            // Just before the first of them: a shorter key goes before those that it begins.
+            let mut from = first.clone();
+            from.pop();
+            let (page, more) = match records.verdicts(&from) {
+                Ok(p) => p,
+                Err(e) => return (found, Some(e)),
+            };
+            let last = page.last().map(|p| p.0.clone());
+            let said: HashMap<String, Verdict> = page.into_iter().collect();
+            let before = rest.len();
+            rest.retain(|(key, uid)| {
+                let covered = !more || last.as_ref().is_some_and(|l| key <= l);
+                if let Some(v) = said.get(key) {
+                    found.insert(uid.clone(), Some(*v));
+                }
+                !covered
+            });
+            if before - rest.len() >= WORTH_A_PAGE {
+                continue;
+            }
+        }
+        // Few are left, or they lie far apart.
+        let Some((key, uid)) = rest.first().cloned() else {
+            break;
+        };
+        match records.verdict(&key) {
+            Ok(v) => {
+                if let Some(v) = v {
+                    found.insert(uid, Some(v));
+                }
+            }
+            Err(e) => return (found, Some(e)),
+        }
+        rest.remove(0);
+    }
+    (found, None)
+}
--- a/src/core/ledger.rs
+++ b/src/core/ledger.rs
@@ -17,9 +17,12 @@
 /// What a transaction's values may amount to, below the protocol's 64 KiB.
 const BATCH_BYTES: usize = 40 * 1024;
 
-/// Keys of finished jobs removed at a time, and how often.
+/// Keys of finished jobs removed at a time, and how often: what other changes leave of the rate is
+/// theirs, and a little in any case.
 const CLEANUPS: usize = 4;
 const CLEANUP_EVERY: Duration = Duration::from_millis(800);
+/// Of the changes that there is room for, this part is left to what comes next.
+const CLEANUP_LEAVES: usize = 2;
 
 pub const LEADER_KEY: &str = "ctl/leader";
 pub const TERM_KEY: &str = "ctl/term";
@@ -32,9 +35,15 @@
 pub const WITHDRAWN_PREFIX: &str = "q/w/";
 pub const INTENT_PREFIX: &str = "i/";
 
+pub const VERDICT_PREFIX: &str = "j/";
+
+/// A job's verdict, once it is over. While this key is absent, an accepted job is live: `done` and
+/// `withdrawn` are both conditional on its absence, so just one of them can come true.
 pub fn job_key(uid: &Uid) -> String {
-    format!("j/{uid}")
+    format!("{VERDICT_PREFIX}{uid}")
 }
+/// The job itself, in the index of live jobs: its acceptance is this one key. It is removed some time
+/// after the verdict is written.
 pub fn live_key(uid: &Uid) -> String {
     format!("{LIVE_PREFIX}{uid}")
 }
@@ -113,7 +122,7 @@
         if self.in_flight.is_some() || self.store_pause.is_some_and(|p| now < p) {
             return None;
         }
-        // A verdict takes two.
+        // Closing a withdrawn job takes two.
         if self.allowance < 2 {
             return None;
         }
@@ -144,12 +153,11 @@
             };
             let before = ops.len();
             if job.final_due() {
-                if ops.len() + 2 > most {
+                if ops.len() + 1 > most {
                     break;
                 }
-                conditions.push((job_key(&uid), job.stamp));
+                conditions.push((job_key(&uid), job.verdict_stamp));
                 ops.push(Op::Put(job_key(&uid), Value::Verdict(Verdict::Done)));
-                ops.push(Op::Delete(live_key(&uid)));
                 flight.finals.push(uid);
                 continue;
             }
@@ -181,7 +189,7 @@
             }
             // A withdrawn job's tasks are only ever removed: its intents need no further leave.
             if ops.len() > before && !job.withdrawn && !job.finished {
-                conditions.push((job_key(&uid), job.stamp));
+                conditions.push((job_key(&uid), job.verdict_stamp));
             }
             if !all {
                 break;
@@ -190,12 +198,13 @@
                 self.dirty_jobs.remove(&uid);
             }
         }
-        // A finished job of 100,000 tasks leaves some 1,600 keys: their removal must not use up the
-        // write rate that submissions and intents need.
-        let mut cleanups = if now >= self.next_cleanup {
-            CLEANUPS
-        } else {
-            0
+        // A finished job of 100,000 tasks leaves some 1,600 keys, a thousand small ones 2,000: their
+        // removal must not use up the write rate that submissions and intents need. It goes on while
+        // most of the rate is unused.
+        let mut cleanups = match (now >= self.next_cleanup, ops.is_empty()) {
+            (false, _) => 0,
+            (true, false) => CLEANUPS,
+            (true, true) => CLEANUPS.max(most / CLEANUP_LEAVES),
         };
         while cleanups > 0 && ops.len() < most {
             cleanups -= 1;
@@ -253,13 +262,15 @@
                         {
                             c.stamp = stamp;
                         }
-                    } else if let Some(uid) = key.strip_prefix("j/").and_then(Uid::parse) {
+                    } else if let Some(uid) = key.strip_prefix(VERDICT_PREFIX).and_then(Uid::parse)
+                    {
                         match verdict {
                             Some(Verdict::Withdrawn) => self.on_withdrawn(now, &uid),
-                            Some(Verdict::Done) => self.closed(&uid),
+                            Some(Verdict::Done) => self.closed(now, &uid),
                             _ => {
+                                // A record of earlier versions, which kept live jobs here too.
                                 if let Some(j) = self.jobs.get_mut(&uid) {
-                                    j.stamp = stamp;
+                                    j.verdict_stamp = stamp;
                                 }
                             }
                         }
@@ -281,7 +292,7 @@
         }
         for uid in flight.finals {
             log::info!("job done job={uid} term={}", self.term.0);
-            self.closed(&uid);
+            self.closed(now, &uid);
         }
         for uid in flight.closing {
             log::info!("withdrawn job is gone job={uid} term={}", self.term.0);
@@ -290,19 +301,34 @@
     }
 
     /// The job's final record is durable.
-    fn closed(&mut self, uid: &Uid) {
-        if let Some(job) = self.jobs.get_mut(uid) {
-            job.finished = true;
-            if job.active.is_empty() {
-                self.drop_job(uid);
-            }
+    fn closed(&mut self, now: Instant, uid: &Uid) {
+        let Some(job) = self.jobs.get_mut(uid) else {
+            return;
+        };
+        job.finished = true;
+        // Found done by the write of an intent: what was only planned is not launched.
+        let planned = job.active.iter().filter(|(_, a)| !a.durable);
+        let planned: Vec<u32> = planned.map(|(i, _)| *i).collect();
+        for i in planned {
+            self.kill(now, uid, i, Duration::ZERO);
         }
+        if self.jobs.get(uid).is_some_and(|j| j.active.is_empty()) {
+            self.drop_job(uid);
+        }
+    }
+
+    /// A job found over whose place in the index of live jobs was left behind.
+    pub fn forget_index(&mut self, uid: &Uid) {
+        self.leftovers.push(live_key(uid));
     }
 
     pub(super) fn drop_job(&mut self, uid: &Uid) {
         if let Some(job) = self.jobs.remove(uid) {
             self.order_stale = true;
             self.dirty_jobs.remove(uid);
+            if !job.withdrawn {
+                self.leftovers.push(live_key(uid));
+            }
             self.leftovers.extend(
                 job.chunks
                     .iter()
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -7,6 +7,7 @@
 mod emptying;
 pub mod entities;
 pub mod history;
+pub mod inquiry;
 pub mod leadership;
 pub mod ledger;
 pub mod model;
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -1,10 +1,13 @@
 //! The front: users, workers and health checks.
 //!
 //! Requests pass through stages with small bounded queues: the listener's thread, then the pool for
-//! reports or the pool for users. A full queue is answered at once. Only the users' pool waits for
-//! the state service, so a slow one never holds reports up; health checks wait for nobody.
+//! reports, for questions, or for submissions and withdrawals. A full queue is answered at once. Only
+//! the users' pools wait for the state service, so a slow one never holds reports up, and a storm of
+//! questions no submission; health checks and questions about what is over wait for nobody.
 
 use super::listen::{self, Limits, Request};
+use super::peer::{Ask, Reply};
+use super::questions;
 use super::wire::{self, JobState, JustUid, Submission};
 use crate::core::admission;
 use crate::core::ledger::{job_key, live_key, withdrawn_key, Verdict};
@@ -28,7 +31,7 @@
 /// A worker waits 4 s for its answer. What has waited for most of that is answered at once instead.
 const BEAT_STALE: Duration = Duration::from_millis(2500);
 /// A user waits 2 s for an answer to a question, and 5 s for one to a submission.
-const USER_STALE: Duration = Duration::from_millis(1800);
+pub(super) const USER_STALE: Duration = Duration::from_millis(1800);
 /// Connections are closed after as many intervals of the workers' reports without a request.
 const IDLE_REPORTS: u32 = 8;
 const IDLE_LEAST: Duration = Duration::from_secs(60);
@@ -57,6 +60,11 @@
         let (s, q) = (shared.clone(), user_queue.clone());
         spawn("users", Box::new(move || user_pool(&s, &q)))?;
     }
+    let (asking, question_queue) = bounded::<Request>(questions::QUESTIONS_WAITING);
+    for _ in 0..questions::QUESTION_THREADS {
+        let (s, q) = (shared.clone(), question_queue.clone());
+        spawn("questions", Box::new(move || questions::pool(&s, &q)))?;
+    }
     let limits = Limits {
         connections: shared.settings.sockets().front,
         body: wire::BODY_LIMIT,
@@ -66,7 +74,7 @@
     spawn(
         "front",
         Box::new(move || {
-            let take = |requests| dispatch(&s, requests, &beats, &users);
+            let take = |requests| dispatch(&s, requests, &beats, &users, &asking);
             if let Err(e) = listen::serve(listener, limits, &s.stop, take) {
                 log::error!("the front cannot listen why=\"{e}\"");
             }
@@ -79,12 +87,13 @@
     requests: Vec<Request>,
     beats: &Sender<Request>,
     users: &Sender<Request>,
+    asking: &Sender<Request>,
 ) {
     for request in requests {
         let queue = match request.path.as_str() {
             "/up" => {
                 let get = matches!(request.method.as_str(), "GET" | "HEAD");
-                let (status, body) = match (get, shared.view.healthy(request.came)) {
+                let (status, body) = match (get, shared.healthy(request.came)) {
                     (true, true) => (200, Vec::new()),
                     (true, false) => problem(503, "the state service is lost"),
                     (false, _) => problem(405, "wrong method"),
@@ -94,6 +103,13 @@
             }
             _ => match route(&request.method, &request.path) {
                 Ok(Route::Beat) => beats,
+                Ok(Route::Query(id)) => match at_once(shared, id) {
+                    Some(answer) => {
+                        respond(request, answer);
+                        continue;
+                    }
+                    None => asking,
+                },
                 Ok(_) => users,
                 Err(refusal) => {
                     respond(request, (refusal, None));
@@ -111,6 +127,15 @@
     }
 }
 
+/// The answer to a question that needs nobody else.
+fn at_once(shared: &Shared, id: &str) -> Option<Answer> {
+    let Some(uid) = Uid::parse(id) else {
+        return Some((problem(404, "no such job"), None));
+    };
+    let v = shared.view.final_answer(&uid)?;
+    Some(((200, state(shared, &uid, v, true)), None))
+}
+
 /// What can be refused for good without asking anybody: it must not be told to come back.
 fn hopeless(r: &Request) -> Option<Answer> {
     match route(&r.method, &r.path) {
@@ -123,9 +148,9 @@
     }
 }
 
-type Answer = ((u16, Vec<u8>), Option<u64>);
+pub type Answer = ((u16, Vec<u8>), Option<u64>);
 
-fn respond(request: Request, ((status, body), retry_after): Answer) {
+pub(super) fn respond(request: Request, ((status, body), retry_after): Answer) {
     request.respond(status, &body, retry_after);
 }
 
@@ -165,18 +190,54 @@
         let answer = if late {
             hopeless(&request).unwrap_or_else(|| unavailable(shared))
         } else {
-            match route(&request.method, &request.path) {
-                Ok(Route::Submit) => submit(shared, &request.body),
-                Ok(Route::Query(id)) => query(shared, id),
-                Ok(Route::Withdraw(id)) => withdraw(shared, id),
-                Ok(Route::Beat) => (problem(503, "busy"), Some(1)),
-                Err(refusal) => (refusal, None),
-            }
+            take(shared, &request)
         };
         respond(request, answer);
     }
 }
 
+/// A submission or a withdrawal, here or by a peer that reaches the state service where we do not.
+fn take(shared: &Shared, r: &Request) -> Answer {
+    match local(shared, &r.method, &r.path, &r.body) {
+        Ok(answer) => answer,
+        Err(StoreError::Spent) => crowded(shared),
+        Err(_) => by_peer(shared, r).unwrap_or_else(|| unavailable(shared)),
+    }
+}
+
+/// What this node can do itself. Its errors say that the state service could not be asked.
+fn local(shared: &Shared, method: &str, path: &str, body: &[u8]) -> Result<Answer, StoreError> {
+    match route(method, path) {
+        Ok(Route::Submit) => submit(shared, body),
+        Ok(Route::Withdraw(id)) => withdraw(shared, id),
+        Ok(Route::Beat | Route::Query(_)) => Ok((problem(503, "busy"), Some(1))),
+        Err(refusal) => Ok((refusal, None)),
+    }
+}
+
+/// What a peer passes on to us. It is not passed on a second time.
+pub fn for_peer(shared: &Shared, method: &str, path: &str, body: &[u8]) -> Answer {
+    match local(shared, method, path, body) {
+        Ok(answer) => answer,
+        Err(StoreError::Spent) => crowded(shared),
+        Err(_) => unavailable(shared),
+    }
+}
+
+/// A submission that failed here may still be carried out later: its conditions make the second one
+/// find the first, whichever it is.
+fn by_peer(shared: &Shared, r: &Request) -> Option<Answer> {
+    let ask = Ask::User {
+        method: r.method.clone(),
+        path: r.path.clone(),
+        body: r.body.clone(),
+    };
+    match shared.able_peer()?.ask(&ask, PEER_CALL) {
+        Ok(Reply::User(status, body, retry)) => Some(((status, body), retry)),
+        _ => None,
+    }
+}
+
 enum Route<'a> {
     Beat,
     Submit,
@@ -208,25 +269,31 @@
 }
 
 const USER_CALL: Duration = Duration::from_millis(1500);
+/// A peer's whole answer to what is passed on to it.
+const PEER_CALL: Duration = Duration::from_millis(2000);
 
 /// When to come back: soon for a moment's shortage, later when the state service is out.
-fn unavailable(shared: &Shared) -> Answer {
-    let lost = !shared.view.store_ok(std::time::Instant::now());
+pub(super) fn unavailable(shared: &Shared) -> Answer {
+    let lost = !shared.view.store_ok(Instant::now());
     let retry = if lost { 3 } else { 1 };
     (problem(503, "not now"), Some(retry))
 }
 
-fn store_said<T>(shared: &Shared, r: &Result<T, StoreError>) {
+/// The rate is used up: when to come back depends on how many others are told the same.
+fn crowded(shared: &Shared) -> Answer {
+    let retry = shared.store.budgets().relief().as_secs_f64().ceil() as u64;
+    (problem(503, "the rate is used up"), Some(retry))
+}
+
+pub(super) fn store_said<T>(shared: &Shared, r: &Result<T, StoreError>) {
     match r {
-        // Out of our own budget is no sign of the state service's health.
-        Err(StoreError::Unavailable) => {}
-        r => shared
-            .view
-            .store_answered(r.is_ok(), std::time::Instant::now()),
+        // Out of the rate is no sign of the state service's health.
+        Err(StoreError::Spent) => {}
+        r => shared.view.store_answered(r.is_ok(), Instant::now()),
     }
 }
 
-fn state(shared: &Shared, uid: &Uid, v: Verdict, counts: bool) -> Vec<u8> {
+pub(super) fn state(shared: &Shared, uid: &Uid, v: Verdict, counts: bool) -> Vec<u8> {
     let (done, running) = shared
         .view
         .read()
@@ -247,30 +314,29 @@
     if let Some(v) = shared.view.final_answer(uid) {
         return Ok(Some((v, 0)));
     }
-    let now = std::time::Instant::now();
-    if !shared.view.store_ok(now) {
+    if !shared.view.store_ok(Instant::now()) {
         return Err(StoreError::Unavailable);
     }
-    // A question that was refused for want of the store's rate goes before those that were not.
-    let found = shared
-        .store
-        .verdict(uid, shared.turns.floor(uid, now), USER_CALL);
-    shared.turns.answered(uid, found.is_ok(), now);
+    let accepted = shared.view.is_accepted(uid);
+    let found = shared.store.verdict(uid, accepted, USER_CALL);
     store_said(shared, &found);
-    if let Ok(Some((v, _))) = &found {
-        if *v != Verdict::Live {
+    match &found {
+        Ok(Some((Verdict::Live, _))) if !accepted => {
+            shared.view.remember_accepted(std::iter::once(uid));
+        }
+        Ok(Some((v @ (Verdict::Done | Verdict::Withdrawn), _))) => {
             shared.view.remember_final(uid, *v);
         }
+        _ => {}
     }
     found
 }
 
-fn known(shared: &Shared, uid: &Uid, otherwise: Answer) -> Answer {
-    match verdict(shared, uid) {
-        Ok(Some((v, _))) => ((200, state(shared, uid, v, false)), None),
-        Ok(None) => otherwise,
-        Err(_) => unavailable(shared),
-    }
+fn known(shared: &Shared, uid: &Uid, otherwise: Answer) -> Result<Answer, StoreError> {
+    Ok(match verdict(shared, uid)? {
+        Some((v, _)) => ((200, state(shared, uid, v, false)), None),
+        None => otherwise,
+    })
 }
 
 type Refusal = (u16, Vec<u8>);
@@ -291,12 +357,12 @@
     })
 }
 
-fn submit(shared: &Shared, body: &[u8]) -> Answer {
+fn submit(shared: &Shared, body: &[u8]) -> Result<Answer, StoreError> {
     let spec = match read_submission(body) {
         Ok(s) => s,
         // A job that was accepted stays known, however its repetition is mangled.
         Err((Some(uid), refusal)) => return known(shared, &uid, (refusal, None)),
-        Err((None, refusal)) => return (refusal, None),
+        Err((None, refusal)) => return Ok((refusal, None)),
     };
     let uid = spec.uid.clone();
     let types = shared.view.read().types.clone();
@@ -313,29 +379,24 @@
     if shared.view.read().live_jobs >= shared.settings.params.tuning.max_live_jobs {
         return known(shared, &uid, (problem(429, "too many jobs"), Some(10)));
     }
-    let (job, live) = (job_key(&uid), live_key(&uid));
-    let changes = vec![
-        Change::Put {
-            key: &job,
-            value: Content::Verdict(Verdict::Live.into()),
-            permit: None,
-        },
-        Change::Put {
-            key: &live,
-            value: Content::Job(Box::new((&spec).into())),
-            permit: None,
-        },
-    ];
-    if !shared.view.store_ok(std::time::Instant::now()) {
-        return unavailable(shared);
+    if !shared.view.store_ok(Instant::now()) {
+        return Err(StoreError::Unavailable);
     }
+    let live = live_key(&uid);
+    let conditions = [(job_key(&uid), 0), (live.clone(), 0)];
+    let changes = vec![Change::Put {
+        key: &live,
+        value: Content::Job(Box::new((&spec).into())),
+        permit: None,
+    }];
+    // A team that floods us leaves the others a way in.
+    let floor = shared.crowd.floor(&spec.owner, Instant::now());
     let limit = Duration::from_millis(2000);
-    let result = shared
-        .store
-        .txn(&[(job.clone(), 0)], changes, Rank::User, limit);
+    let result = shared.store.txn_above(floor, &conditions, changes, limit);
     store_said(shared, &result);
     match result {
         Ok(Txn::Applied { .. }) => {
+            shared.view.remember_accepted(std::iter::once(&uid));
             log::debug!(
                 "accepted job={uid} class={} shards={} cpus={:.1} expected_s={:.1} due_s={:.1}",
                 spec.class,
@@ -344,37 +405,26 @@
                 spec.expected.as_secs_f64(),
                 spec.due.unwrap_or_default().as_secs_f64()
             );
-            ((201, state(shared, &uid, Verdict::Live, false)), None)
+            Ok(((201, state(shared, &uid, Verdict::Live, false)), None))
         }
-        // Known already, or accepted by a transaction whose answer was lost: the key tells.
+        // Known already, or accepted by a transaction whose answer was lost: the keys tell.
         Ok(Txn::Failed { .. }) | Err(StoreError::Unknown) => {
             known(shared, &uid, unavailable(shared))
         }
-        Err(_) => unavailable(shared),
-    }
-}
-
-fn query(shared: &Shared, id: &str) -> Answer {
-    let Some(uid) = Uid::parse(id) else {
-        return (problem(404, "no such job"), None);
-    };
-    match verdict(shared, &uid) {
-        Ok(Some((v, _))) => ((200, state(shared, &uid, v, true)), None),
-        Ok(None) => (problem(404, "no such job"), None),
-        Err(_) => unavailable(shared),
+        Err(e) => Err(e),
     }
 }
 
-fn withdraw(shared: &Shared, id: &str) -> Answer {
+fn withdraw(shared: &Shared, id: &str) -> Result<Answer, StoreError> {
     let Some(uid) = Uid::parse(id) else {
-        return (problem(404, "no such job"), None);
+        return Ok((problem(404, "no such job"), None));
     };
     for _ in 0..2 {
-        let stamp = match verdict(shared, &uid) {
-            Ok(Some((Verdict::Live, stamp))) => stamp,
-            Ok(Some((v, _))) => return ((200, state(shared, &uid, v, false)), None),
-            Ok(None) => return (problem(404, "no such job"), None),
-            Err(_) => return unavailable(shared),
+        // The stamp is 0 while the job is live: its verdict's key is absent.
+        let stamp = match verdict(shared, &uid)? {
+            Some((Verdict::Live, stamp)) => stamp,
+            Some((v, _)) => return Ok(((200, state(shared, &uid, v, false)), None)),
+            None => return Ok((problem(404, "no such job"), None)),
         };
         let (job, mark) = (job_key(&uid), withdrawn_key(&uid));
         let changes = vec![
@@ -398,12 +448,12 @@
                 shared.view.remember_final(&uid, Verdict::Withdrawn);
                 log::info!("withdrawn job={uid}");
                 let body = state(shared, &uid, Verdict::Withdrawn, false);
-                return ((200, body), None);
+                return Ok(((200, body), None));
             }
             // Done or withdrawn meanwhile, or of unknown outcome: read it again.
             Ok(Txn::Failed { .. }) | Err(StoreError::Unknown) => {}
-            Err(_) => return unavailable(shared),
+            Err(e) => return Err(e),
         }
     }
-    unavailable(shared)
+    Ok(unavailable(shared))
 }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -6,5 +6,6 @@
 pub mod http;
 pub mod listen;
 pub mod peer;
+pub mod questions;
 pub mod store;
 pub mod wire;
--- a/src/net/peer.rs
+++ b/src/net/peer.rs
@@ -22,6 +22,9 @@
     pub store_ok: bool,
     /// Workers that report to the sender.
     pub workers: u32,
+    /// Changes a second of the state service that its users, and its duties as leader, asked for.
+    pub users_changes: f64,
+    pub leader_changes: f64,
     /// From the leader: jobs whose counts changed (done, running), for display.
     pub progress: Vec<(String, u32, u32)>,
     /// From the leader: jobs that are over.
@@ -38,6 +41,25 @@
         endpoint: String,
         body: Vec<u8>,
     },
+    /// How jobs stand, for a node that the state service does not answer.
+    Questions(Vec<String>),
+    /// A submission or a withdrawal, for the same reason.
+    User {
+        method: String,
+        path: String,
+        body: Vec<u8>,
+    },
+}
+
+/// What a peer found out about a job.
+#[derive(Clone, Copy, Debug, PartialEq, BorshSerialize, BorshDeserialize)]
+pub enum Word {
+    /// It could not be asked.
+    Silence,
+    NeverAccepted,
+    Live,
+    Done,
+    Withdrawn,
 }
 
 #[derive(Clone, Debug, PartialEq, BorshSerialize, BorshDeserialize)]
@@ -46,6 +68,10 @@
     Beats(Vec<(u16, Vec<u8>)>),
     /// The worker's report, as it came. None: it did not answer.
     Command(Option<Vec<u8>>),
+    /// In the order of the questions.
+    Words(Vec<Word>),
+    /// Status, body, and when to come back.
+    User(u16, Vec<u8>, Option<u64>),
 }
 
 pub fn write_frame<T: BorshSerialize>(w: &mut impl Write, message: &T) -> io::Result<()> {
@@ -114,8 +140,9 @@
     pub fn ask(&self, ask: &Ask, limit: Duration) -> io::Result<Reply> {
         let kept = self.idle.lock().ok().and_then(|mut i| i.pop());
         if let Some(mut s) = kept {
-            // A kept connection may have died with the peer's earlier life. Both questions are safe
-            // to repeat: a report has its serial, and a hello changes nothing the second time.
+            // A kept connection may have died with the peer's earlier life. All that is asked is safe
+            // to repeat: a report has its serial, a submission or withdrawal its conditions, and a hello
+            // changes nothing the second time.
             s.set_read_timeout(Some(limit))?;
             s.set_write_timeout(Some(limit))?;
             match exchange(&mut s, ask) {
--- a/src/net/store.rs
+++ b/src/net/store.rs
@@ -2,19 +2,25 @@
 
 use super::http::{Answer, CallError, Client};
 use super::wire::{self, StoredChunk, StoredHistory, StoredVerdict};
-use crate::core::ledger::{Batch, Op, Value, Verdict};
+use crate::core::inquiry::{Page, Records};
+use crate::core::ledger::{job_key, live_key, Batch, Op, Value, Verdict, VERDICT_PREFIX};
 use crate::core::model::Uid;
-use crate::runtime::budget::{Bucket, Rank};
-use serde::de::DeserializeOwned;
+use crate::runtime::budget::{shares, Bucket, Demand, Rank, LEADER_CHANGES};
+use crate::runtime::stop::Stop;
+use serde::de::{DeserializeOwned, IgnoredAny};
 use serde::{Deserialize, Serialize};
-use std::sync::Arc;
+use std::cell::Cell;
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 pub enum StoreError {
-    /// Not executed: refused, out of budget, or never sent.
+    /// Not executed: refused, or never sent.
     #[error("the state service is not available")]
     Unavailable,
+    /// Not executed: the rate is used up for the moment. It says nothing of the service's health.
+    #[error("the state service's rate is used up")]
+    Spent,
     /// May have been executed, or may yet be.
     #[error("the state service did not answer")]
     Unknown,
@@ -87,7 +93,7 @@
 struct TxnRequest<'a> {
     #[serde(rename = "If")]
     conditions: Vec<Condition<'a>>,
-    #[serde(rename = "Apply")]
+    #[serde(rename = "Apply", skip_serializing_if = "Vec::is_empty")]
     apply: Vec<Change<'a>>,
 }
 
@@ -172,13 +178,32 @@
 pub struct Budgets {
     users: (Bucket, Bucket),
     leader: (Bucket, Bucket),
+    changes: f64,
+    wanted: Mutex<Wanted>,
 }
 
-/// The leader's part of all requests and of all changes. The rest is the users', node by node.
+/// Changes asked for since the last look, and what was asked for a second before that.
+struct Wanted {
+    users: usize,
+    leader: usize,
+    since: Instant,
+    demand: Demand,
+}
+
+/// The leader's part of all requests. The rest is the users', node by node.
 const LEADER_REQUESTS: f64 = 0.4;
-const LEADER_CHANGES: f64 = 0.6;
 /// Bursts of one second's worth are allowed; a little less allows for the clocks.
 const BURST_S: f64 = 0.9;
+/// Of the changes a second that the service takes, these are shared out.
+const SHARED_OUT: f64 = 0.97;
+/// The part of a node's requests that questions leave to submissions and withdrawals.
+const QUESTIONS_LEAVE: f64 = 0.4;
+/// A question that finds the rate used up waits this long before it looks again.
+const QUESTION_PAUSE: Duration = Duration::from_millis(15);
+/// Nobody is told to come back later than this for want of the rate: users give up after a minute.
+const MOST_RELIEF_S: f64 = 4.0;
+/// Verdicts read together.
+const PAGE: usize = 1000;
 
 impl Budgets {
     /// Of the deployment's rates for `nodes` nodes. Only one of them leads, so each holds the
@@ -195,12 +220,58 @@
                 bucket(rps * LEADER_REQUESTS),
                 bucket(write_rps * LEADER_CHANGES),
             ),
+            changes: write_rps * SHARED_OUT,
+            wanted: Mutex::new(Wanted {
+                users: 0,
+                leader: 0,
+                since: now,
+                demand: Demand::default(),
+            }),
         }
     }
 
-    /// For a user's question, which leaves this part of the bucket to those that have waited longer.
-    pub fn question(&self, floor: f64, now: Instant) -> bool {
-        self.users.0.take_above(1.0, floor, now)
+    fn wanted(&self) -> MutexGuard<'_, Wanted> {
+        self.wanted.lock().unwrap_or_else(|e| e.into_inner())
+    }
+
+    /// What this node asks for, as its peers are told.
+    pub fn demand(&self) -> Demand {
+        self.wanted().demand
+    }
+
+    /// Sets the rates of changes by what all nodes ask for; now and then.
+    pub fn share_out(&self, peers: &[Option<Demand>], now: Instant) {
+        let mut w = self.wanted();
+        let passed = now.saturating_duration_since(w.since).as_secs_f64();
+        if passed < 0.2 {
+            return;
+        }
+        // The mean of this look and what came before; after a pause only this one counts.
+        let fresh = (passed / 2.0).clamp(0.5, 1.0);
+        let mean = |old: f64, n: usize| old + (n as f64 / passed - old) * fresh;
+        w.demand = Demand {
+            users: mean(w.demand.users, w.users).min(self.changes),
+            leader: mean(w.demand.leader, w.leader).min(self.changes),
+        };
+        (w.users, w.leader, w.since) = (0, 0, now);
+        let (users, leader) = shares(self.changes, w.demand, peers);
+        drop(w);
+        self.users.1.set_rate(users, now);
+        self.leader.1.set_rate(leader, now);
+    }
+
+    /// For a call that answers questions. It leaves this part of the bucket to submissions and
+    /// withdrawals, so that no storm of questions holds them up.
+    pub fn question(&self, now: Instant) -> bool {
+        self.users.0.take_above(1.0, QUESTIONS_LEAVE, now)
+    }
+
+    /// After how long a user whose change was refused for the rate should come back: by then what was
+    /// asked for of late could be served.
+    pub fn relief(&self) -> Duration {
+        let (wanted, rate) = (self.wanted().demand.users, self.users.1.rate());
+        let seconds = wanted / rate.max(0.1);
+        Duration::from_secs_f64(seconds.clamp(1.0, MOST_RELIEF_S))
     }
 
     /// Changes that the leader could make now.
@@ -209,18 +280,31 @@
     }
 
     pub fn leave(&self, rank: Rank, writes: usize, now: Instant) -> bool {
+        self.leave_above(rank, writes, 0.0, now)
+    }
+
+    /// The same, leaving this part of the changes to others.
+    pub fn leave_above(&self, rank: Rank, writes: usize, floor: f64, now: Instant) -> bool {
+        if writes > 0 {
+            let mut w = self.wanted();
+            match rank {
+                Rank::User => w.users += writes,
+                Rank::Leader => w.leader += writes,
+            }
+        }
         let (requests, changes) = match rank {
             Rank::User => &self.users,
             Rank::Leader => &self.leader,
         };
         // What is refused for its changes must not use up requests.
-        (writes == 0 || changes.take_at(writes as f64, now)) && requests.take_at(1.0, now)
+        (writes == 0 || changes.take_above(writes as f64, floor, now)) && requests.take_at(1.0, now)
     }
 }
 
 fn sent(r: Result<Answer, CallError>) -> Result<Answer, StoreError> {
     match r {
-        Ok(a) if a.status == 429 || a.status == 503 => Err(StoreError::Unavailable),
+        Ok(a) if a.status == 429 => Err(StoreError::Spent),
+        Ok(a) if a.status == 503 => Err(StoreError::Unavailable),
         Ok(a) => Ok(a),
         Err(CallError::NotSent) => Err(StoreError::Unavailable),
         Err(CallError::NoAnswer) => Err(StoreError::Unknown),
@@ -243,10 +327,14 @@
         if self.budgets.leave(rank, writes, Instant::now()) {
             Ok(())
         } else {
-            Err(StoreError::Unavailable)
+            Err(StoreError::Spent)
         }
     }
 
+    pub fn budgets(&self) -> &Budgets {
+        &self.budgets
+    }
+
     pub fn get<T: DeserializeOwned>(
         &self,
         key: &str,
@@ -316,6 +404,30 @@
         limit: Duration,
     ) -> Result<Txn, StoreError> {
         self.leave(rank, changes.len())?;
+        self.exchange(conditions, changes, limit)
+    }
+
+    /// A user's transaction that leaves this part of the rate to others.
+    pub fn txn_above(
+        &self,
+        floor: f64,
+        conditions: &[(String, u64)],
+        changes: Vec<Change<'_>>,
+        limit: Duration,
+    ) -> Result<Txn, StoreError> {
+        let (now, n) = (Instant::now(), changes.len());
+        if !self.budgets.leave_above(Rank::User, n, floor, now) {
+            return Err(StoreError::Spent);
+        }
+        self.exchange(conditions, changes, limit)
+    }
+
+    fn exchange(
+        &self,
+        conditions: &[(String, u64)],
+        changes: Vec<Change<'_>>,
+        limit: Duration,
+    ) -> Result<Txn, StoreError> {
         let request = TxnRequest {
             conditions: conditions
                 .iter()
@@ -420,19 +532,22 @@
         }
     }
 
+    /// A job's verdict by itself, with its key's stamp. `accepted`: the job is known to have been
+    /// accepted; else that is asked first, since the verdict's key outlives the job's.
     pub fn verdict(
         &self,
         uid: &Uid,
-        floor: f64,
+        accepted: bool,
         limit: Duration,
     ) -> Result<Option<(Verdict, u64)>, StoreError> {
-        if !self.budgets.question(floor, Instant::now()) {
-            return Err(StoreError::Unavailable);
-        }
-        let key = crate::core::ledger::job_key(uid);
-        let e = self.read::<StoredVerdict>(&key, limit)?;
-        match e {
-            None => Ok(None),
+        let known = accepted || {
+            self.leave(Rank::User, 0)?;
+            self.read::<IgnoredAny>(&live_key(uid), limit)?.is_some()
+        };
+        self.leave(Rank::User, 0)?;
+        let said = self.read::<StoredVerdict>(&job_key(uid), limit)?;
+        match said {
+            None => Ok(known.then_some((Verdict::Live, 0))),
             Some(e) => match e.value.verdict() {
                 Some(v) => Ok(Some((v, e.stamp))),
                 None => Err(StoreError::Unavailable),
@@ -440,3 +555,88 @@
         }
     }
 }
+
+/// What questions need of the state service, each call within the questions' part of the rate.
+pub struct Asked<'a> {
+    store: &'a Store,
+    stop: &'a Stop,
+    rank: Rank,
+    until: Instant,
+    /// The first call's part of the rate has been taken already.
+    paid: Cell<bool>,
+}
+
+impl<'a> Asked<'a> {
+    pub fn new(store: &'a Store, stop: &'a Stop, rank: Rank, until: Instant) -> Asked<'a> {
+        Asked {
+            store,
+            stop,
+            rank,
+            until,
+            paid: Cell::new(false),
+        }
+    }
+
+    /// Waits a little for the rate, ahead of the first call: what comes meanwhile can go with it.
+    pub fn admit(&self) -> bool {
+        while !self.paid.get() {
+            let now = Instant::now();
+            let left = match self.rank {
+                Rank::User => self.store.budgets.question(now),
+                Rank::Leader => self.store.budgets.leave(Rank::Leader, 0, now),
+            };
+            if !left && (now >= self.until || self.stop.wait(QUESTION_PAUSE)) {
+                return false;
+            }
+            self.paid.set(left);
+        }
+        true
+    }
+
+    fn charge(&self) -> Result<(), StoreError> {
+        if self.admit() {
+            self.paid.set(false);
+            Ok(())
+        } else {
+            Err(StoreError::Spent)
+        }
+    }
+
+    fn limit(&self) -> Duration {
+        self.until
+            .saturating_duration_since(Instant::now())
+            .max(QUESTION_PAUSE)
+    }
+}
+
+impl Records for Asked<'_> {
+    type Error = StoreError;
+
+    fn differing(&self, expected: &[(String, u64)]) -> Result<Vec<String>, StoreError> {
+        self.charge()?;
+        match self.store.exchange(expected, Vec::new(), self.limit())? {
+            Txn::Applied { .. } => Ok(Vec::new()),
+            Txn::Failed { keys } => Ok(keys),
+        }
+    }
+
+    fn verdicts(&self, from: &str) -> Result<Page, StoreError> {
+        self.charge()?;
+        let path = format!("/store?Under={VERDICT_PREFIX}&From={from}&Most={PAGE}");
+        let call = self.store.client.call("GET", &path, NONE, self.limit());
+        let a = sent(call)?;
+        if a.status != 200 {
+            return Err(StoreError::Unavailable);
+        }
+        let page: ListAnswer<StoredVerdict> = a.decode().ok_or(StoreError::Unavailable)?;
+        let more = page.more;
+        let read = |p: Pair<StoredVerdict>| p.value.verdict().map(|v| (p.path, v));
+        Ok((page.pairs.into_iter().filter_map(read).collect(), more))
+    }
+
+    fn verdict(&self, key: &str) -> Result<Option<Verdict>, StoreError> {
+        self.charge()?;
+        let e = self.store.read::<StoredVerdict>(key, self.limit())?;
+        Ok(e.and_then(|e| e.value.verdict()))
+    }
+}
--- a/src/runtime/budget.rs
+++ b/src/runtime/budget.rs
@@ -1,6 +1,6 @@
 //! Token buckets for the rates that the state service and the cloud allow.
 
-use crate::core::model::Uid;
+use crate::core::model::TeamName;
 use std::collections::HashMap;
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
@@ -13,9 +13,22 @@
 }
 
 pub struct Bucket {
-    rate: f64,
     size: f64,
-    state: Mutex<(f64, Instant)>,
+    state: Mutex<State>,
+}
+
+struct State {
+    rate: f64,
+    left: f64,
+    at: Instant,
+}
+
+impl State {
+    fn refill(&mut self, size: f64, now: Instant) {
+        let passed = now.saturating_duration_since(self.at).as_secs_f64();
+        self.left = (self.left + passed * self.rate).min(size);
+        self.at = self.at.max(now);
+    }
 }
 
 impl Bucket {
@@ -23,12 +36,26 @@
     pub fn new(rate: f64, burst_s: f64, now: Instant) -> Bucket {
         let size = (rate * burst_s).max(1.0);
         Bucket {
-            rate,
             size,
-            state: Mutex::new((size, now)),
+            state: Mutex::new(State {
+                rate,
+                left: size,
+                at: now,
+            }),
         }
     }
 
+    /// From now on it fills at this rate. Bursts stay as large as they were.
+    pub fn set_rate(&self, rate: f64, now: Instant) {
+        let mut s = self.state.lock().unwrap_or_else(|e| e.into_inner());
+        s.refill(self.size, now);
+        s.rate = rate;
+    }
+
+    pub fn rate(&self) -> f64 {
+        self.state.lock().unwrap_or_else(|e| e.into_inner()).rate
+    }
+
     pub fn take(&self, n: f64) -> bool {
         self.take_at(n, Instant::now())
     }
@@ -38,21 +65,19 @@
     }
 
     pub fn left_at(&self, now: Instant) -> f64 {
-        let s = self.state.lock().unwrap_or_else(|e| e.into_inner());
-        let passed = now.saturating_duration_since(s.1).as_secs_f64();
-        (s.0 + passed * self.rate).min(self.size)
+        let mut s = self.state.lock().unwrap_or_else(|e| e.into_inner());
+        s.refill(self.size, now);
+        s.left
     }
 
     /// Takes `n` only when this part of the bucket is left.
     pub fn take_above(&self, n: f64, floor: f64, now: Instant) -> bool {
         let mut s = self.state.lock().unwrap_or_else(|e| e.into_inner());
-        let passed = now.saturating_duration_since(s.1).as_secs_f64();
-        s.0 = (s.0 + passed * self.rate).min(self.size);
-        s.1 = now;
+        s.refill(self.size, now);
         // A request larger than the bucket goes through when the bucket is full.
         let left = self.size * floor;
-        if s.0 - n >= left || (n > self.size - left && s.0 >= self.size - 1e-9) {
-            s.0 -= n;
+        if s.left - n >= left || (n > self.size - left && s.left >= self.size - 1e-9) {
+            s.left -= n;
             true
         } else {
             false
@@ -60,43 +85,75 @@
     }
 }
 
-/// Questions about jobs that were refused for want of the store's rate, and since when. By chance
-/// alone one of many jobs would lose for minutes; so the longer a job's questions have been refused,
-/// the less of the bucket they must leave to others.
+/// Changes a second that were asked for of late: by a node's users, and by its duties as leader.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Demand {
+    pub users: f64,
+    pub leader: f64,
+}
+
+/// The leader's part of all changes when everybody wants more than there is. The rest is the users'.
+pub const LEADER_CHANGES: f64 = 0.6;
+/// What is lent leaves the lender this much more than it asked for of late, and this part of all.
+const LENT_MARGIN: f64 = 1.25;
+const LENT_SPARE: f64 = 0.05;
+/// A node's users keep this share of their even part whatever the others ask for.
+const KEPT: f64 = 0.5;
+
+/// The changes a second of a node's users, and those of the leader should this node lead. Each has its
+/// part, and what one does not use the others may: a flood of submissions needs far more than the
+/// users' part, and the leader more than its own when nobody submits. Of a peer that is not heard of
+/// (`None`) the whole part is left alone: it may be at work out of our hearing.
+pub fn shares(total: f64, own: Demand, peers: &[Option<Demand>]) -> (f64, f64) {
+    let nodes = peers.len() as f64 + 1.0;
+    let (leaders, users) = (total * LEADER_CHANGES, total * (1.0 - LEADER_CHANGES));
+    let even = users / nodes;
+    let of_users: f64 = own.users
+        + peers
+            .iter()
+            .map(|p| p.map_or(even, |d| d.users))
+            .sum::<f64>();
+    let of_leader = peers
+        .iter()
+        .map(|p| p.map_or(leaders, |d| d.leader))
+        .fold(own.leader, f64::max);
+    let kept = |asked: f64, most: f64| (asked * LENT_MARGIN + total * LENT_SPARE).min(most);
+    let pool = total - kept(of_leader, leaders);
+    // Each node by what its users ask for, and a little for those who ask for nothing yet.
+    let little = even * LENT_SPARE;
+    let mine = pool * (own.users + little) / (of_users + little * nodes);
+    (mine.max(even * KEPT), total - kept(of_users, users))
+}
+
+/// Whose submissions leave a part of the rate to other teams: a team that sends most of them.
 #[derive(Default)]
-pub struct Turns {
-    refused: Mutex<HashMap<Uid, (Instant, Instant)>>,
+pub struct Crowd {
+    recent: Mutex<HashMap<TeamName, (f64, Instant)>>,
 }
 
-/// What a first question leaves to those refused before.
-const FIRST_FLOOR: f64 = 0.8;
-/// After this long a question may take the last token.
-const LONG_REFUSED: Duration = Duration::from_secs(40);
-/// Users ask every few seconds; who stops asking no longer waits.
-const GAVE_UP: Duration = Duration::from_secs(30);
-const MOST_WAITING: usize = 50_000;
-
-impl Turns {
-    pub fn floor(&self, uid: &Uid, now: Instant) -> f64 {
-        let refused = self.refused.lock().unwrap_or_else(|e| e.into_inner());
-        if refused.is_empty() {
-            return 0.0;
-        }
-        let waited = refused.get(uid).map_or(Duration::ZERO, |(since, _)| {
-            now.saturating_duration_since(*since)
-        });
-        FIRST_FLOOR * (1.0 - waited.as_secs_f64() / LONG_REFUSED.as_secs_f64()).max(0.0)
-    }
+/// Submissions count for about this long.
+const RECENT: Duration = Duration::from_secs(5);
+const CROWD_LEAVES: f64 = 0.4;
 
-    pub fn answered(&self, uid: &Uid, ok: bool, now: Instant) {
-        let mut refused = self.refused.lock().unwrap_or_else(|e| e.into_inner());
-        if ok {
-            refused.remove(uid);
-            return;
-        }
-        refused.retain(|_, (_, last)| now.saturating_duration_since(*last) < GAVE_UP);
-        if refused.len() < MOST_WAITING {
-            refused.entry(uid.clone()).or_insert((now, now)).1 = now;
+impl Crowd {
+    /// Counts one submission, and tells which part of the rate it must leave.
+    pub fn floor(&self, team: &TeamName, now: Instant) -> f64 {
+        let mut recent = self.recent.lock().unwrap_or_else(|e| e.into_inner());
+        let faded = |(n, at): (f64, Instant)| {
+            let age = now.saturating_duration_since(at);
+            n * (-age.as_secs_f64() / RECENT.as_secs_f64()).exp()
+        };
+        let own = recent.get(team).map_or(0.0, |r| faded(*r)) + 1.0;
+        recent.insert(team.clone(), (own, now));
+        let all: f64 = recent.values().map(|r| faded(*r)).sum();
+        // A few submissions are no flood.
+        if own > all / 2.0 && own > FLOOD && recent.len() > 1 {
+            CROWD_LEAVES
+        } else {
+            0.0
         }
     }
 }
+
+/// So many of late are a flood.
+const FLOOD: f64 = 20.0;
--- a/src/runtime/duties.rs
+++ b/src/runtime/duties.rs
@@ -64,14 +64,22 @@
 /// Jobs' counts are for display: users may learn of them a second late.
 const PUBLISH_EVERY: Duration = Duration::from_millis(1000);
 
+/// How often the state service's changes are shared out anew.
+const SHARE_EVERY: Duration = Duration::from_millis(500);
+
 /// The loop that owns the picture. Events in, actions out.
 pub fn core_loop(shared: &Shared, events: &Receiver<Event>, out: &Outlets) {
     let mut cluster: Option<Cluster> = None;
     let mut next_tick = Instant::now();
     let mut published = HashMap::new();
     let mut next_publish = Instant::now();
+    let mut next_share = Instant::now();
     let mut next_metrics = Instant::now() + shared.settings.operations.metrics_every;
     while !shared.stop.stopped() {
+        if Instant::now() >= next_share {
+            next_share = Instant::now() + SHARE_EVERY;
+            shared.share_out(Instant::now());
+        }
         let left = next_tick.saturating_duration_since(Instant::now());
         let event = events.recv_timeout(left).ok();
         let now = Instant::now();
@@ -279,7 +287,7 @@
     let mut i = shared.view.write();
     i.live_jobs = c.jobs.len();
     for (uid, counts) in changed {
-        i.progress.insert(uid.clone(), counts);
+        i.progressed(uid.clone(), counts.0, counts.1);
         published.insert(uid, counts);
     }
 }
@@ -355,7 +363,11 @@
         Uid::parse(uid).map(|u| Event::Withdrawn(term, u))
     } else {
         match value {
-            Some(Queued::Job(j)) => j.into_spec().map(|s| Event::Job(term, Box::new(s), stamp)),
+            // The index keeps a job for a while after its verdict.
+            Some(Queued::Job(j)) => j
+                .into_spec()
+                .filter(|s| shared.view.final_answer(&s.uid).is_none())
+                .map(|s| Event::Job(term, Box::new(s), stamp)),
             _ => None,
         }
     };
@@ -380,7 +392,10 @@
             if let (ledger::Op::Put(key, ledger::Value::Verdict(v)), BatchOutcome::Applied { .. }) =
                 (op, &outcome)
             {
-                if let Some(uid) = key.strip_prefix("j/").and_then(Uid::parse) {
+                if let Some(uid) = key
+                    .strip_prefix(ledger::VERDICT_PREFIX)
+                    .and_then(Uid::parse)
+                {
                     shared.view.remember_final(&uid, *v);
                 }
             }
@@ -395,7 +410,7 @@
     let limit = Duration::from_millis(1500);
     let mut found = Vec::new();
     for key in keys {
-        let entry = if key.starts_with("j/") {
+        let entry = if key.starts_with(ledger::VERDICT_PREFIX) {
             shared
                 .store
                 .get::<StoredVerdict>(&key, Rank::Leader, limit)
--- a/src/runtime/elector.rs
+++ b/src/runtime/elector.rs
@@ -6,16 +6,19 @@
 use super::view::RoleView;
 use crate::core::cluster::Cluster;
 use crate::core::history::Summary;
+use crate::core::inquiry::{self, Standing};
 use crate::core::leadership::{LeaderRecord, Leadership, Role, Step};
-use crate::core::ledger::{self, CONTROL_PREFIX, LEADER_KEY, TERM_KEY, TYPES_KEY};
+use crate::core::ledger::{self, Verdict, CONTROL_PREFIX, LEADER_KEY, TERM_KEY, TYPES_KEY};
 use crate::core::model::{Term, Uid};
-use crate::net::store::{Change, Content, StoreError, Txn};
+use crate::net::questions;
+use crate::net::store::{Asked, Change, Content, Pair, StoreError, Txn};
 use crate::net::wire::{StoredChunk, StoredHistory, StoredJob, StoredLeader, WireTypes};
 use crate::runtime::budget::Rank;
 use crossbeam::channel::{Receiver, Sender};
 use rand::Rng;
 use serde::de::IgnoredAny;
 use serde::Deserialize;
+use std::collections::{BTreeSet, HashSet};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -325,6 +328,27 @@
     }
 }
 
+/// Jobs whose verdict is written, and whose place in the index of live jobs is not removed yet.
+fn over_already(shared: &Shared, live: &[Pair<StoredJob>]) -> Result<HashSet<Uid>, StoreError> {
+    let prefix = ledger::LIVE_PREFIX;
+    let uids = live.iter().filter_map(|p| p.path.strip_prefix(prefix));
+    let uids: Vec<Uid> = uids.filter_map(Uid::parse).collect();
+    let mut over = HashSet::new();
+    let until = Instant::now() + Duration::from_secs(4);
+    for part in uids.chunks(questions::most_at_once(shared)) {
+        let asked = Asked::new(&shared.store, &shared.stop, Rank::Leader, until);
+        let part: BTreeSet<Uid> = part.iter().cloned().collect();
+        let mut accepted = part.clone();
+        let (found, trouble) = inquiry::standings(&asked, &part, &mut accepted);
+        if let Some(e) = trouble {
+            return Err(e);
+        }
+        let ended = |s: &Standing| matches!(s, Some(Verdict::Done));
+        over.extend(found.into_iter().filter(|(_, s)| ended(s)).map(|f| f.0));
+    }
+    Ok(over)
+}
+
 fn load(shared: &Shared, term: Term, stamp: u64) -> Result<(Cluster, u64), StoreError> {
     let limit = Duration::from_secs(4);
     let rank = Rank::Leader;
@@ -344,9 +368,12 @@
         c.history.load(&Summary::from(h.value));
     }
     let (jobs, chunks) = (live.len(), intents.len());
+    let over = over_already(shared, &live)?;
     for p in live {
-        if let Some(spec) = p.value.into_spec() {
-            c.on_job(spec, p.stamp);
+        match p.value.into_spec() {
+            Some(spec) if over.contains(&spec.uid) => c.forget_index(&spec.uid),
+            Some(spec) => c.on_job(spec, p.stamp),
+            None => {}
         }
     }
     for p in intents {
--- a/src/runtime/peering.rs
+++ b/src/runtime/peering.rs
@@ -1,12 +1,15 @@
 //! The duties among the nodes: commands by way of followers, hellos, and the peers' questions.
 
+use super::budget::Demand;
 use super::duties::{Event, Order, SendOrder};
 use super::elector::Sign;
 use super::service::Shared;
 use super::view::RoleView;
 use crate::core::model::*;
 use crate::net::agent;
+use crate::net::front;
 use crate::net::peer::{self, Ask, Hello, Peer, Reply};
+use crate::net::questions;
 use crossbeam::channel::Receiver;
 use std::collections::HashMap;
 use std::net::TcpListener;
@@ -88,12 +91,15 @@
     };
     let highest = i.highest.0;
     drop(i);
+    let demand = shared.store.budgets().demand();
     Hello {
         member: shared.settings.member.clone(),
         leads,
         highest,
         store_ok: shared.view.store_ok(now),
         workers: shared.workers.count(now),
+        users_changes: demand.users,
+        leader_changes: demand.leader,
         progress,
         over,
     }
@@ -142,7 +148,13 @@
 
 fn heard_hello(shared: &Shared, h: &Hello) {
     let now = Instant::now();
-    shared.view.peer_said(&h.member, h.store_ok, h.workers, now);
+    let demand = Demand {
+        users: h.users_changes,
+        leader: h.leader_changes,
+    };
+    shared
+        .view
+        .peer_said(&h.member, h.store_ok, h.workers, demand, now);
     if let Some(term) = h.leads {
         let own = shared.view.read().highest;
         if Term(term) > own {
@@ -167,7 +179,7 @@
                 if h.leads.is_some() && !matches!(shared.view.read().role, RoleView::Leader(_)) {
                     let mut i = shared.view.write();
                     for (uid, d, r) in h.progress {
-                        i.progress.insert(Uid(uid), (d, r));
+                        i.progressed(Uid(uid), d, r);
                     }
                     for uid in h.over {
                         i.progress.remove(&Uid(uid));
@@ -179,6 +191,11 @@
             Ask::Command { endpoint, body } => {
                 Reply::Command(agent::deliver(&shared.agent, &endpoint, &body))
             }
+            Ask::Questions(names) => Reply::Words(questions::for_peer(shared, &names)),
+            Ask::User { method, path, body } => {
+                let ((status, body), retry) = front::for_peer(shared, &method, &path, &body);
+                Reply::User(status, body, retry)
+            }
         };
         if peer::write_frame(&mut stream, &reply).is_err() {
             return;
--- a/src/runtime/service.rs
+++ b/src/runtime/service.rs
@@ -1,6 +1,6 @@
 //! One controller node: everything that its threads share, and how they are started and stopped.
 
-use super::budget::{Bucket, Turns};
+use super::budget::{Bucket, Crowd};
 use super::clerks;
 use super::duties::{self, BeatReply, Event, Outlets};
 use super::elector::{self, Sign};
@@ -15,6 +15,7 @@
 use crate::net::http::Client;
 use crate::net::listen;
 use crate::net::peer::{Ask, Peer, Reply};
+use crate::net::questions;
 use crate::net::store::{Budgets, Store};
 use crate::net::wire::{self, BeatAnswer, Elsewhere, WireDirective, WireReport};
 use crate::settings::Settings;
@@ -53,7 +54,7 @@
     /// For commands to workers.
     pub agent: ureq::Agent,
     pub workers: Workers,
-    pub turns: Turns,
+    pub crowd: Crowd,
 }
 
 impl Shared {
@@ -61,6 +62,23 @@
         let _ = self.events.send(Event::StepDown);
     }
 
+    /// A peer that reaches the state service and was heard of late.
+    pub fn able_peer(&self) -> Option<&Arc<Peer>> {
+        let able = self.view.able_peers(Instant::now());
+        self.peers.iter().find(|p| able.contains(&p.member))
+    }
+
+    pub fn healthy(&self, now: Instant) -> bool {
+        self.view.healthy(!self.peers.is_empty(), now)
+    }
+
+    /// Sets the rates of changes by what all nodes ask for.
+    pub fn share_out(&self, now: Instant) {
+        let demand = |p: &Arc<Peer>| self.view.demand_of(&p.member, now);
+        let peers: Vec<_> = self.peers.iter().map(demand).collect();
+        self.store.budgets().share_out(&peers, now);
+    }
+
     /// Reports at this node, answered only if this node leads.
     pub fn local_beats(&self, bodies: &[Vec<u8>]) -> Vec<(u16, Vec<u8>)> {
         let mut answers: Vec<(u16, Vec<u8>)> = Vec::with_capacity(bodies.len());
@@ -187,7 +205,7 @@
         let connect = Duration::from_millis(800);
         let meters = Meters::default();
         // One for each thread that asks for a user, and for the leader's own duties.
-        let idle = settings.operations.handlers + 8;
+        let idle = settings.operations.handlers + questions::QUESTION_THREADS + 8;
         let client = Client::new(settings.state, connect, idle, meters.store.clone());
         let store = Store::new(client, budgets);
         let patience = Duration::from_secs(2);
@@ -221,7 +239,7 @@
             wake,
             agent: agent::client(sockets.workers),
             workers: Workers::new(settings_report),
-            turns: Turns::default(),
+            crowd: Crowd::default(),
         });
         let mut threads = Vec::new();
         let mut spawn = |name: &str, f: Box<dyn FnOnce() + Send>| -> std::io::Result<()> {
--- a/src/runtime/view.rs
+++ b/src/runtime/view.rs
@@ -1,14 +1,18 @@
 //! What every thread of a node may know: who leads, the machine types, jobs' progress.
 
+use crate::core::inquiry::Standing;
 use crate::core::leadership::LeaderRecord;
 use crate::core::ledger::Verdict;
 use crate::core::model::{HostType, Term, Uid};
-use std::collections::{HashMap, VecDeque};
+use crate::runtime::budget::Demand;
+use std::collections::{BTreeSet, HashMap, HashSet, VecDeque};
 use std::sync::{RwLock, RwLockReadGuard, RwLockWriteGuard};
 use std::time::{Duration, Instant};
 
 /// Final answers kept in memory. Only these may be answered without asking the state service.
 const FINALS_KEPT: usize = 20_000;
+/// Jobs known to have been accepted and not known to be over. Without one, a question costs more.
+const ACCEPTED_KEPT: usize = 100_000;
 /// The state service counts as lost to this node after failing for this long.
 const STORE_LOST: Duration = Duration::from_secs(2);
 /// What a peer said last counts for this long.
@@ -26,6 +30,7 @@
     pub highest: Term,
     pub types: Vec<HostType>,
     pub progress: HashMap<Uid, (u32, u32)>,
+    accepted: HashSet<Uid>,
     finals: HashMap<Uid, Verdict>,
     final_order: VecDeque<Uid>,
     store_failing: Option<Instant>,
@@ -41,12 +46,31 @@
     at: Instant,
     store_ok: bool,
     workers: u32,
+    demand: Demand,
 }
 
 pub struct View {
     inner: RwLock<Inner>,
 }
 
+impl Inner {
+    fn accept(&mut self, uid: &Uid) {
+        if self.finals.contains_key(uid) {
+            return;
+        }
+        if self.accepted.len() >= ACCEPTED_KEPT {
+            self.accepted.clear();
+        }
+        self.accepted.insert(uid.clone());
+    }
+
+    /// How far a job's tasks are, as the leader tells it.
+    pub fn progressed(&mut self, uid: Uid, done: u32, running: u32) {
+        self.accept(&uid);
+        self.progress.insert(uid, (done, running));
+    }
+}
+
 impl View {
     pub fn new(now: Instant) -> View {
         View {
@@ -56,6 +80,7 @@
                 highest: Term(0),
                 types: Vec::new(),
                 progress: HashMap::new(),
+                accepted: HashSet::new(),
                 finals: HashMap::new(),
                 final_order: VecDeque::new(),
                 // Unproven until the first answer.
@@ -79,8 +104,46 @@
         self.read().finals.get(uid).copied()
     }
 
+    pub fn is_accepted(&self, uid: &Uid) -> bool {
+        self.read().accepted.contains(uid)
+    }
+
+    /// Those of these jobs that are known to have been accepted.
+    pub fn accepted_of<'a>(&self, uids: impl Iterator<Item = &'a Uid>) -> BTreeSet<Uid> {
+        let i = self.read();
+        uids.filter(|u| i.accepted.contains(u)).cloned().collect()
+    }
+
+    /// That a job was accepted stays true, whatever becomes of it.
+    pub fn remember_accepted<'a>(&self, uids: impl Iterator<Item = &'a Uid>) {
+        let mut i = self.write();
+        for uid in uids {
+            i.accept(uid);
+        }
+    }
+
+    /// What was found out about jobs, from whichever node.
+    pub fn learn(&self, found: &HashMap<Uid, Standing>) {
+        let live = found.iter().filter(|(_, s)| **s == Some(Verdict::Live));
+        let fresh: Vec<&Uid> = {
+            let i = self.read();
+            live.map(|f| f.0)
+                .filter(|u| !i.accepted.contains(u))
+                .collect()
+        };
+        if !fresh.is_empty() {
+            self.remember_accepted(fresh.into_iter());
+        }
+        for (uid, standing) in found {
+            if let Some(v @ (Verdict::Done | Verdict::Withdrawn)) = standing {
+                self.remember_final(uid, *v);
+            }
+        }
+    }
+
     pub fn remember_final(&self, uid: &Uid, v: Verdict) {
         let mut i = self.write();
+        i.accepted.remove(uid);
         if i.finals.insert(uid.clone(), v).is_none() {
             i.final_order.push_back(uid.clone());
             if i.final_order.len() > FINALS_KEPT {
@@ -118,19 +181,42 @@
             .is_none_or(|t| now.saturating_duration_since(t) < STORE_LOST)
     }
 
-    pub fn peer_said(&self, member: &str, store_ok: bool, workers: u32, now: Instant) {
+    pub fn peer_said(
+        &self,
+        member: &str,
+        store_ok: bool,
+        workers: u32,
+        demand: Demand,
+        now: Instant,
+    ) {
         let word = PeerWord {
             at: now,
             store_ok,
             workers,
+            demand,
         };
         self.write().peers.insert(member.to_owned(), word);
     }
 
+    /// Peers heard of late that reach the state service.
+    pub fn able_peers(&self, now: Instant) -> Vec<String> {
+        let i = self.read();
+        let able = |p: &PeerWord| p.store_ok && p.is_fresh(now);
+        let able = i.peers.iter().filter(|(_, p)| able(p));
+        able.map(|(m, _)| m.clone()).collect()
+    }
+
+    /// What a peer's users and its leader's duties ask of the state service, if it was heard of late.
+    pub fn demand_of(&self, member: &str, now: Instant) -> Option<Demand> {
+        let i = self.read();
+        let word = i.peers.get(member)?;
+        word.is_fresh(now).then_some(word.demand)
+    }
+
     /// Peers heard of late, with the workers that report to each.
     pub fn live_peers(&self, now: Instant) -> Vec<(String, u32)> {
         let i = self.read();
-        let live = |p: &PeerWord| now.saturating_duration_since(p.at) < PEER_FRESH;
+        let live = |p: &PeerWord| p.is_fresh(now);
         let mut peers: Vec<(String, u32)> = i
             .peers
             .iter()
@@ -141,13 +227,22 @@
         peers
     }
 
-    /// Being taken out of the load balancer is costly: only when a peer can do what we cannot.
-    pub fn healthy(&self, now: Instant) -> bool {
+    /// Being taken out of the load balancer is costly: only when a peer can do what we cannot. A node
+    /// that has lost the state service and hears none of its peers takes itself for the one that is cut
+    /// off: its users would ask it in vain for as long as their connections last.
+    pub fn healthy(&self, has_peers: bool, now: Instant) -> bool {
         if self.store_ok(now) {
             return true;
         }
         let i = self.read();
-        let served = |p: &PeerWord| p.store_ok && now.saturating_duration_since(p.at) < PEER_FRESH;
-        !i.peers.values().any(served)
+        let mut heard = i.peers.values().filter(|p| p.is_fresh(now)).peekable();
+        let alone = has_peers && heard.peek().is_none();
+        !alone && !heard.any(|p| p.store_ok)
+    }
+}
+
+impl PeerWord {
+    fn is_fresh(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.at) < PEER_FRESH
     }
 }
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -182,6 +182,8 @@
         leads: Some(4),
         highest: 4,
         store_ok: true,
+        users_changes: 3.5,
+        leader_changes: 0.0,
         workers: 3,
         progress: vec![("wk-000001".into(), 1, 2)],
         over: vec![],
