Jobs in doubt try one task at a time; who stood still judges nothing by what it could not hear

Now three machines' failures with no task running on put the job in doubt: one task at a time tries, after 5 s and ever later; it rents, keeps and stops nothing, and its marks do not count. A task that ends well, or outlives those that failed, ends the doubt and the marks count again. A machine in quarantine is given back 8 s later, when the jobs are known better.

Cause, standstills: only ticks noticed them, after the queued events had been taken for news of now, and only by the steady clock. Now the first thread to look notices, by either clock; reports that had waited are refused, leases, grace and heeding count from waking, orders for workers and the cloud are judged when they are sent, and the leadership is certain only while both clocks say so.

--- a/src/core/cluster.rs
+++ b/src/core/cluster.rs
@@ -243,6 +243,7 @@
                     tenure: None,
                     placed: now,
                     seen: None,
+                    waited: None,
                     running_since: None,
                     measured: false,
                     est: job.spec.expected,
@@ -351,6 +352,7 @@
             tenure: Some(h.tenure),
             placed: now,
             seen: None,
+            waited: None,
             running_since: None,
             measured: false,
             est,
@@ -459,7 +461,7 @@
         let task = job.task(index);
         let gang = job.spec.kind == JobKind::Gang;
         if job.finished && job.active.is_empty() {
-            self.drop_job(uid);
+            self.drop_job(now, uid);
         } else {
             self.dirty_jobs.insert(uid.clone());
         }
@@ -515,12 +517,36 @@
         self.round_pace = (took * ROUND_SHARE).clamp(ROUND_LEAST, ROUND_MOST);
     }
 
+    /// This process stood still and has just woken; its clocks may have gone on by less or more than
+    /// what happened outside. What it was waiting for is counted anew from now: silence while it could
+    /// not hear, leases whose answers it may misjudge, the heeding of commands that did not go out.
+    /// What users wait for, withdrawals above all, is not put off.
+    pub fn woke(&mut self, now: Instant) {
+        if self.awake_since == now {
+            return;
+        }
+        self.awake_since = now;
+        self.last_tick = Some(now);
+        self.last_beat = self.last_beat.map(|_| now);
+        for h in self.hosts.values_mut().filter(|h| !h.lease_spent) {
+            h.last_answer = h.last_answer.map(|_| now);
+        }
+        for a in self.jobs.values_mut().flat_map(|j| j.active.values_mut()) {
+            a.given = a.given.map(|_| now);
+            // The grace was not given to a task that never heard of it.
+            if let Some(k) = a.kill.as_mut().filter(|k| !k.wind_down.is_zero()) {
+                k.since = now;
+            }
+        }
+    }
+
     /// Everything that time alone brings about, a placement round, and what is to be sent.
     pub fn tick(&mut self, now: Instant) -> Vec<Action> {
         let stood_still = |t: Instant| now.saturating_duration_since(t) > STANDSTILL;
-        if self.last_tick.replace(now).is_some_and(stood_still) {
-            self.awake_since = now;
+        if self.last_tick.is_some_and(stood_still) {
+            self.woke(now);
         }
+        self.last_tick = Some(now);
         if self
             .last_sweep
             .is_none_or(|t| now.saturating_duration_since(t) >= SWEEP_EVERY)
@@ -530,6 +556,7 @@
             self.overdue_withdrawals(now);
             self.evictions(now);
             self.press_kills(now);
+            self.clear_doubts(now);
         }
         let every = if self.round_due {
             self.round_pace
--- /dev/null
+++ b/src/core/doubt.rs
@@ -0,0 +1,211 @@
+//! Whose fault a failure is: the machine's or the job's.
+//!
+//! A job that was submitted with a mistake fails on every machine until its user withdraws it; a faulty
+//! machine fails every job. A job whose tasks failed on a few machines, none of them known as faulty,
+//! and of which nothing runs, is in doubt: one task at a time tries, at growing intervals, and nothing
+//! is rented, kept ready or stopped for it. Its marks on machines do not count while it is in doubt. As
+//! soon as one of its tasks ends well, or runs for far longer than the others took to fail, the doubt is
+//! over, and the marks count again.
+
+use super::cluster::{Cluster, Job};
+use super::model::*;
+use std::time::{Duration, Instant};
+
+/// Machines on which a job must have failed to be in doubt: two may be faulty by chance.
+const FEW: usize = 3;
+/// The same for a job of which something has run: many machines may be faulty at once.
+const MANY_FAULTY: usize = 12;
+/// Two jobs that fail on a machine, with no success there between, put it in quarantine.
+const JOBS_FAILED: usize = 2;
+/// A machine is given back after so long in quarantine: by then the jobs it failed are known better.
+pub(super) const SICK_PATIENCE: Duration = Duration::from_secs(8);
+/// The first pause before a job in doubt tries again; each failed try doubles it.
+const FIRST_PAUSE: Duration = Duration::from_secs(5);
+const LONGEST_PAUSE: Duration = Duration::from_secs(60);
+/// A task that runs for this many times as long as the others took to fail, and this much more, shows
+/// that the job can run.
+const OUTLIVES: u32 = 3;
+const OUTLIVES_LEAST: Duration = Duration::from_secs(4);
+/// A machine that failed a task gets no other for this long.
+const AVOIDED: Duration = Duration::from_secs(15);
+
+impl Cluster {
+    /// A task of this job failed there, so long after it was placed.
+    pub(super) fn failed(&mut self, now: Instant, uid: &Uid, host: &HostId, after: Duration) {
+        let faulty = self.faulty_by_others(uid, host);
+        let Some(job) = self.jobs.get_mut(uid).filter(|j| !j.withdrawn) else {
+            return;
+        };
+        job.errors += 1;
+        job.failed_after = Some(job.failed_after.map_or(after, |f| f.min(after)));
+        if job.doubted {
+            // What was under way when the doubt arose fails too; only a try that was due counts.
+            if job.backoff_until.is_none_or(|t| now >= t) {
+                job.tries += 1;
+                job.backoff_until = Some(now + pause(job.tries));
+            }
+            return;
+        }
+        // A machine that others have shown to be faulty says nothing of the job.
+        if !faulty {
+            job.error_hosts.insert(host.clone());
+        }
+        let few = if job.sound { MANY_FAULTY } else { FEW };
+        if job.error_hosts.len() >= few {
+            log::info!("job is in doubt job={uid} failures={}", job.errors);
+            job.doubted = true;
+            job.sound = false;
+            job.backoff_until = Some(now + pause(job.tries));
+            // What was only planned is not launched.
+            let planned = job.active.iter().filter(|(_, a)| !a.durable);
+            let planned: Vec<u32> = planned.map(|(i, _)| *i).collect();
+            for i in planned {
+                self.kill(now, uid, i, Duration::ZERO);
+            }
+            self.rejudge(now, uid);
+            return;
+        }
+        if let Some(h) = self.hosts.get_mut(host) {
+            h.failed_jobs.insert(uid.clone());
+            h.avoid_until = Some(now + AVOIDED);
+        }
+        self.judge(now, host);
+    }
+
+    /// A task of this job ended well there.
+    pub(super) fn succeeded(&mut self, now: Instant, uid: &Uid, host: &HostId) {
+        if let Some(h) = self.hosts.get_mut(host) {
+            h.failed_jobs.clear();
+        }
+        self.judge(now, host);
+        self.sound(now, uid);
+    }
+
+    /// The job can run after all: what failed on machines counts against them again.
+    fn sound(&mut self, now: Instant, uid: &Uid) {
+        let Some(job) = self.jobs.get_mut(uid) else {
+            return;
+        };
+        job.sound = true;
+        if job.doubted {
+            log::info!("job is in doubt no more job={uid}");
+            job.doubted = false;
+            job.tries = 0;
+            job.backoff_until = None;
+            self.round_due = true;
+            self.rejudge(now, uid);
+        }
+        if let Some(job) = self.jobs.get_mut(uid) {
+            // It keeps away from these no longer than the machines' own marks make it.
+            job.error_hosts.clear();
+        }
+    }
+
+    /// Jobs in doubt one of whose tasks outlives those that failed.
+    pub(super) fn clear_doubts(&mut self, now: Instant) {
+        let outlives = |j: &Job| {
+            let least = j.failed_after.unwrap_or_default() * OUTLIVES + OUTLIVES_LEAST;
+            // One whose tasks fail sooner or later is believed less each time.
+            let most = least * 2u32.pow(j.cleared.min(8));
+            let long = |t: Instant| now.saturating_duration_since(t) > most;
+            j.active.values().any(|a| a.running_since.is_some_and(long))
+        };
+        let cleared = |j: &&Job| j.doubted && !j.over() && outlives(j);
+        let cleared: Vec<Uid> = self
+            .jobs
+            .values()
+            .filter(cleared)
+            .map(|j| j.spec.uid.clone())
+            .collect();
+        for uid in cleared {
+            if let Some(j) = self.jobs.get_mut(&uid) {
+                j.cleared += 1;
+            }
+            self.sound(now, &uid);
+        }
+    }
+
+    /// Whether jobs that are not in doubt, this one aside, have failed there.
+    fn faulty_by_others(&self, uid: &Uid, host: &HostId) -> bool {
+        let Some(h) = self.hosts.get(host) else {
+            return false;
+        };
+        h.quarantined
+            || h.failed_jobs
+                .iter()
+                .any(|u| u != uid && !self.is_doubted(u) && self.is_sound(u))
+    }
+
+    fn is_doubted(&self, uid: &Uid) -> bool {
+        self.jobs.get(uid).is_some_and(|j| j.doubted)
+    }
+
+    fn is_sound(&self, uid: &Uid) -> bool {
+        self.jobs.get(uid).is_none_or(|j| j.sound)
+    }
+
+    /// What this job's failures said of machines counts differently now.
+    fn rejudge(&mut self, now: Instant, uid: &Uid) {
+        let marked = |h: &super::cluster::Host| h.failed_jobs.contains(uid);
+        let hosts: Vec<HostId> = self
+            .hosts
+            .values()
+            .filter(|h| marked(h))
+            .map(|h| h.id.clone())
+            .collect();
+        let doubted = self.is_doubted(uid);
+        for id in hosts {
+            if let Some(h) = self.hosts.get_mut(&id).filter(|_| doubted) {
+                h.avoid_until = None;
+            }
+            self.judge(now, &id);
+        }
+    }
+
+    /// Whether a machine belongs in quarantine.
+    fn judge(&mut self, now: Instant, host: &HostId) {
+        let Some(h) = self.hosts.get(host) else {
+            return;
+        };
+        let blamed = h.failed_jobs.iter().filter(|u| !self.is_doubted(u)).count() >= JOBS_FAILED;
+        if blamed == h.quarantined {
+            return;
+        }
+        let Some(h) = self.hosts.get_mut(host) else {
+            return;
+        };
+        h.quarantined = blamed;
+        h.quarantined_at = blamed.then_some(now);
+        if blamed {
+            log::info!("host is quarantined host={host}");
+        } else {
+            log::info!("host is in quarantine no more host={host}");
+            self.round_due = true;
+        }
+    }
+
+    /// A job that never showed that it can run is gone: its marks prove nothing.
+    pub(super) fn unmark(&mut self, now: Instant, job: &Job) {
+        if job.errors == 0 || job.sound {
+            return;
+        }
+        let uid = &job.spec.uid;
+        let marked = |h: &super::cluster::Host| h.failed_jobs.contains(uid);
+        let hosts: Vec<HostId> = self
+            .hosts
+            .values()
+            .filter(|h| marked(h))
+            .map(|h| h.id.clone())
+            .collect();
+        for id in hosts {
+            if let Some(h) = self.hosts.get_mut(&id) {
+                h.failed_jobs.remove(uid);
+            }
+            self.judge(now, &id);
+        }
+    }
+}
+
+fn pause(tries: u32) -> Duration {
+    (FIRST_PAUSE * 2u32.pow(tries.min(6))).min(LONGEST_PAUSE)
+}
--- a/src/core/entities.rs
+++ b/src/core/entities.rs
@@ -28,6 +28,8 @@
     pub tenure: Option<u64>,
     pub placed: Instant,
     pub seen: Option<TaskPhase>,
+    /// When it was last seen waiting for its image.
+    pub waited: Option<Instant>,
     pub running_since: Option<Instant>,
     /// The start of the run was seen, so its length can be measured.
     pub measured: bool,
@@ -66,8 +68,19 @@
     pub done_count: u32,
     pub active: BTreeMap<u32, Active>,
     pub chunks: BTreeMap<u32, Chunk>,
+    /// Where its tasks failed since one of them last showed that they can run.
     pub error_hosts: HashSet<HostId>,
     pub errors: u32,
+    /// The least time that a failing task was seen to take: fetches and reports only add to it.
+    pub failed_after: Option<Duration>,
+    /// How often a task that ran on ended the doubt about it.
+    pub cleared: u32,
+    /// One of its tasks ended well, or runs for far longer than the others took to fail.
+    pub sound: bool,
+    /// It may have been submitted with a mistake: one task at a time tries, now and then.
+    pub doubted: bool,
+    /// Such tries that failed.
+    pub tries: u32,
     pub backoff_until: Option<Instant>,
     pub unknowns: u32,
     pub progress: HashMap<u32, Duration>,
@@ -105,6 +118,11 @@
             chunks: BTreeMap::new(),
             error_hosts: HashSet::new(),
             errors: 0,
+            failed_after: None,
+            cleared: 0,
+            sound: false,
+            doubted: false,
+            tries: 0,
             backoff_until: None,
             unknowns: 0,
             progress: HashMap::new(),
@@ -248,6 +266,8 @@
     /// Jobs whose tasks failed here since the last success.
     pub failed_jobs: HashSet<Uid>,
     pub quarantined: bool,
+    /// Since when it is; the jobs it failed may yet turn out to be at fault.
+    pub quarantined_at: Option<Instant>,
     /// Logarithm of measured over expected run time here.
     pub slowness: super::history::Average,
     pub lease_spent: bool,
@@ -298,6 +318,7 @@
             avoid_until: None,
             failed_jobs: HashSet::new(),
             quarantined: false,
+            quarantined_at: None,
             slowness: Default::default(),
             lease_spent: false,
             overdue: false,
--- a/src/core/ledger.rs
+++ b/src/core/ledger.rs
@@ -296,7 +296,7 @@
         }
         for uid in flight.closing {
             log::info!("withdrawn job is gone job={uid} term={}", self.term.0);
-            self.drop_job(&uid);
+            self.drop_job(now, &uid);
         }
     }
 
@@ -313,7 +313,7 @@
             self.kill(now, uid, i, Duration::ZERO);
         }
         if self.jobs.get(uid).is_some_and(|j| j.active.is_empty()) {
-            self.drop_job(uid);
+            self.drop_job(now, uid);
         }
     }
 
@@ -322,7 +322,7 @@
         self.leftovers.push(live_key(uid));
     }
 
-    pub(super) fn drop_job(&mut self, uid: &Uid) {
+    pub(super) fn drop_job(&mut self, now: Instant, uid: &Uid) {
         if let Some(job) = self.jobs.remove(uid) {
             self.order_stale = true;
             self.dirty_jobs.remove(uid);
@@ -336,6 +336,7 @@
                     .map(|(i, _)| chunk_key(uid, *i)),
             );
             self.gone_jobs.push(uid.clone());
+            self.unmark(now, &job);
         }
     }
 }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -4,6 +4,7 @@
 pub mod capacity;
 pub mod cluster;
 mod departures;
+mod doubt;
 mod emptying;
 pub mod entities;
 pub mod history;
--- a/src/core/placement.rs
+++ b/src/core/placement.rs
@@ -378,7 +378,8 @@
 
     /// Whether the job may use this slot, its tasks placed so far aside.
     pub(super) fn admits(&self, job: &Job, s: &Slot<'_>, given: &[&Site]) -> bool {
-        let failed = job.error_hosts.len() < 3 && job.error_hosts.contains(&s.host.id);
+        // In doubt, it has failed on many, and most of them are well.
+        let failed = !job.doubted && job.error_hosts.contains(&s.host.id);
         let name = &self.types[s.type_index].name;
         let site_of = self.site_of();
         !failed && permits_with(job, &site_of, given, name, &s.host.site, s.host.spot)
@@ -403,7 +404,7 @@
         self.sort_order();
         for j in self.jobs.values_mut() {
             let waited = now.saturating_duration_since(j.last_placed) > STARVED;
-            if waited && j.turn == 0 && !j.over() && j.waiting_count() > 0 {
+            if waited && j.turn == 0 && !j.over() && !j.doubted && j.waiting_count() > 0 {
                 j.turn = j.spec.shards.div_ceil(STARVED_PART);
                 j.starved = true;
             }
@@ -484,6 +485,7 @@
             let waits = (job.waiting_count() as usize).saturating_sub(before);
             let most = part.map_or(waits, |p| (p as usize).min(waits));
             let most = most.min(ROUND_TASKS.saturating_sub(looked));
+            let most = if job.doubted { most.min(1) } else { most };
             if most == 0 {
                 // Beyond what a round looks at: it waits behind all that was looked at.
                 if waits > 0 && part.is_none() {
@@ -604,6 +606,10 @@
             }
             used.insert(spec.owner.clone(), sum);
         }
+        // Nothing is rented, kept or stopped for a job that would only fail there too.
+        plan.waiting
+            .retain(|w| self.jobs.get(&w.uid).is_some_and(|j| !j.doubted));
+        limited.retain(|u| self.jobs.get(*u).is_some_and(|j| !j.doubted));
         plan.kills = self.preempt(now, &plan.waiting, &slots, &within, &rates);
         self.preempt_own(now, &limited, &within, &mut plan.kills);
         plan.spare = slots.iter().map(|s| (s.host.id.clone(), s.later)).collect();
@@ -949,6 +955,7 @@
                 tenure: Some(1),
                 placed: now - secs(placed),
                 seen: None,
+                waited: None,
                 running_since: ran.map(|r| now - secs(r)),
                 measured: true,
                 est: secs(90),
--- a/src/core/queue.rs
+++ b/src/core/queue.rs
@@ -28,7 +28,10 @@
         within: &HashSet<&Uid>,
     ) -> Vec<(&Uid, Option<u32>)> {
         let waits = |j: &&Job| {
-            !j.over() && j.waiting_count() > 0 && j.backoff_until.is_none_or(|b| now >= b)
+            // In doubt, one task at a time tries.
+            let trying = j.doubted && !j.active.is_empty();
+            let due = j.backoff_until.is_none_or(|b| now >= b);
+            !j.over() && j.waiting_count() > 0 && due && !trying
         };
         let jobs: Vec<&Job> = self
             .order
@@ -40,7 +43,7 @@
         let overloaded: HashSet<Urgency> = jobs
             .iter()
             .zip(&late)
-            .filter(|(j, late)| **late && j.spec.due.is_some())
+            .filter(|(j, late)| **late && j.spec.due.is_some() && !j.doubted)
             .map(|(j, _)| j.spec.urgency)
             .collect();
         let mut order: Vec<(Place, &Job)> = jobs
@@ -93,7 +96,8 @@
 
     /// Jobs that fit into their team's guarantee together with its earlier unfinished jobs.
     pub(super) fn within_guarantee(&self) -> HashSet<&Uid> {
-        let mut jobs: Vec<&Job> = self.jobs.values().filter(|j| !j.over()).collect();
+        let counts = |j: &&Job| !j.over() && !j.doubted;
+        let mut jobs: Vec<&Job> = self.jobs.values().filter(counts).collect();
         jobs.sort_by_key(|j| j.stamp);
         let mut sums: HashMap<&TeamName, Need> = HashMap::new();
         let mut within = HashSet::new();
--- a/src/core/reports.rs
+++ b/src/core/reports.rs
@@ -211,6 +211,7 @@
         a.seen = Some(phase);
         match phase {
             TaskPhase::Fetching => {
+                a.waited = Some(now);
                 if let Some(h) = self.hosts.get_mut(&r.host) {
                     h.fetching.entry(image).or_insert((now, gb));
                 }
@@ -260,7 +261,6 @@
             Exit::Done => {
                 job.unknowns = 0;
                 if let Some(h) = h {
-                    h.failed_jobs.clear();
                     if let Some(took) = ran.filter(|_| a.kill.is_none()) {
                         let est = a.est.as_secs_f64().max(0.1);
                         let known = job.done_count > 1;
@@ -275,6 +275,7 @@
                         self.history.ran(&job.spec, &r.host_type, took);
                     }
                 }
+                self.succeeded(now, uid, &r.host);
             }
             Exit::Stopped { stored } => {
                 if let Some(took) = ran.filter(|_| job.spec.saves()) {
@@ -288,29 +289,14 @@
                 }
             }
             Exit::Error => {
-                job.errors += 1;
-                job.error_hosts.insert(r.host.clone());
+                let began = a.running_since.or(a.waited).unwrap_or(a.placed);
+                let after = now.saturating_duration_since(began);
                 log::info!(
                     "task failed task={task} host={} failures={}",
                     r.host,
-                    job.errors
+                    job.errors + 1
                 );
-                // One job that fails on different hosts is itself at fault and waits ever longer.
-                if job.error_hosts.len() >= 3 {
-                    let wait = 2u64.pow(job.errors.min(5)).min(30);
-                    job.backoff_until = Some(now + Duration::from_secs(wait));
-                }
-                let widespread = job.error_hosts.len() >= 3;
-                if let Some(h) = h {
-                    if !widespread {
-                        h.failed_jobs.insert(uid.clone());
-                    }
-                    h.avoid_until = Some(now + Duration::from_secs(15));
-                    if h.failed_jobs.len() >= 2 && !h.quarantined {
-                        log::info!("host is quarantined host={}", h.id);
-                        h.quarantined = true;
-                    }
-                }
+                self.failed(now, uid, &r.host, after);
             }
             Exit::NoRoom | Exit::InUse => {
                 if let Some(h) = h {
--- a/src/core/returning.rs
+++ b/src/core/returning.rs
@@ -2,6 +2,7 @@
 
 use super::capacity::MANY;
 use super::cluster::{Action, Cluster, Host};
+use super::doubt::SICK_PATIENCE;
 use super::model::*;
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
@@ -38,6 +39,7 @@
                 None if h.fenced || h.own => None,
                 None => Some(h.known_since),
             };
+            let since = since.map(|t| t.max(self.awake_since));
             h.reported && since.is_some_and(|t| now.saturating_duration_since(t) > silent_after)
         };
         let all = self.hosts.values().filter(up).count();
@@ -76,20 +78,23 @@
         for (_, h, t) in hosts {
             if let Some(since) = h.booting {
                 let boot = t.map_or(Duration::from_secs(60), |t| t.boot);
-                if now.saturating_duration_since(since)
-                    > boot.mul_f64(4.0) + Duration::from_secs(30)
-                {
+                // Its first report may be waiting for us.
+                let heard = now.saturating_duration_since(self.awake_since) > p.report * 2;
+                let late = boot.mul_f64(4.0) + Duration::from_secs(30);
+                if heard && now.saturating_duration_since(since) > late {
                     leaving.push((h.id.clone(), "never came up"));
                 }
                 continue;
             }
-            if h.quarantined {
+            let sick = |t: Instant| now.saturating_duration_since(t) > SICK_PATIENCE;
+            if h.quarantined_at.is_some_and(sick) {
                 leaving.push((h.id.clone(), "sick"));
             } else if h.eviction.is_some() && h.placed.is_empty() {
                 leaving.push((h.id.clone(), "to be taken"));
             } else if silent(h)
                 && !ours(h)
-                && (h.reported || now.saturating_duration_since(h.known_since) > p.lease)
+                && (h.reported
+                    || now.saturating_duration_since(h.known_since.max(self.awake_since)) > p.lease)
             {
                 leaving.push((h.id.clone(), "silent"));
             } else if deaf(h) && !ours(h) {
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -89,7 +89,9 @@
     users: &Sender<Request>,
     asking: &Sender<Request>,
 ) {
-    for request in requests {
+    // Also keeps the pulse: this thread looks at its sockets twice a second.
+    let waking = shared.waking();
+    for mut request in requests {
         let queue = match request.path.as_str() {
             "/up" => {
                 let get = matches!(request.method.as_str(), "GET" | "HEAD");
@@ -102,6 +104,11 @@
                 continue;
             }
             _ => match route(&request.method, &request.path) {
+                // It waited while this process stood still: its worker has gone on to another node.
+                Ok(Route::Beat) if waking => {
+                    request.give_up();
+                    continue;
+                }
                 Ok(Route::Beat) => beats,
                 Ok(Route::Query(id)) => match at_once(shared, id) {
                     Some(answer) => {
@@ -288,7 +295,7 @@
 pub(super) fn store_said<T>(shared: &Shared, r: &Result<T, StoreError>) {
     match r {
         // Out of the rate is no sign of the state service's health.
-        Err(StoreError::Spent) => {}
+        Err(StoreError::Spent | StoreError::NoLease) => {}
         r => shared.view.store_answered(r.is_ok(), Instant::now()),
     }
 }
--- a/src/runtime/clerks.rs
+++ b/src/runtime/clerks.rs
@@ -22,8 +22,10 @@
         }
         let event = match order {
             CloudOrder::Rent(term, r) => {
-                // What is rented in doubt is adopted by whoever leads.
-                let leads = shared.view.read().role == RoleView::Leader(term);
+                // What is rented in doubt is adopted by whoever leads. But an order that waited while
+                // this process stood still is not carried out for a term that may be over.
+                let leads =
+                    shared.leads(term) && (shared.surely_leads(term) || !shared.woke_of_late());
                 let outcome = if leads {
                     shared.cloud.rent(&r)
                 } else {
@@ -41,7 +43,7 @@
             }
             CloudOrder::Return(term, hosts) => {
                 // One that waited through a cut must not take machines that work for a new leader.
-                let leads = shared.view.surely_leads(term, Instant::now());
+                let leads = shared.surely_leads(term);
                 let ok = leads && shared.cloud.give_back(&hosts);
                 Event::Returned(term, hosts, ok)
             }
--- a/src/runtime/duties.rs
+++ b/src/runtime/duties.rs
@@ -74,6 +74,7 @@
     let mut published = HashMap::new();
     let mut next_publish = Instant::now();
     let mut next_share = Instant::now();
+    let mut last_woke = None;
     let mut next_metrics = Instant::now() + shared.settings.operations.metrics_every;
     while !shared.stop.stopped() {
         if Instant::now() >= next_share {
@@ -83,6 +84,14 @@
         let left = next_tick.saturating_duration_since(Instant::now());
         let event = events.recv_timeout(left).ok();
         let now = Instant::now();
+        let woke = shared.woke();
+        if woke != last_woke {
+            last_woke = woke;
+            log::warn!("this process stood still; what it knew is old");
+            if let Some(c) = cluster.as_mut() {
+                c.woke(now);
+            }
+        }
         let mut done = 0;
         let mut next = event;
         // What has queued up is taken in one go, so that a late thread catches up.
@@ -101,7 +110,7 @@
         };
         let ticking = now >= next_tick;
         c.allow(shared.store.changes_left());
-        let certain = shared.view.surely_leads(c.term, now);
+        let certain = shared.surely_leads(c.term);
         c.confirm(certain);
         let actions = if ticking { c.tick(now) } else { c.flush(now) };
         if ticking {
--- a/src/runtime/elector.rs
+++ b/src/runtime/elector.rs
@@ -20,7 +20,7 @@
 use serde::Deserialize;
 use std::collections::{BTreeSet, HashSet};
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime};
 
 const CALL: Duration = Duration::from_millis(1500);
 /// Who gave the leadership up because it heard nobody takes it again only after this.
@@ -154,14 +154,14 @@
         } else {
             vacant = None;
         }
-        let asked = Instant::now();
+        let (asked, asked_day) = (Instant::now(), SystemTime::now());
         match step {
             Step::Wait => {}
             Step::Renew => {
                 match permit.map(|p| shared.store.extend(p, life / 4)) {
                     Some(Ok(())) => {
                         shared.view.store_answered(true, Instant::now());
-                        shared.view.lease_lasts(asked + life);
+                        shared.view.lease_lasts((asked, asked_day), life);
                         machine.renewed(asked)
                     }
                     Some(Err(StoreError::NoLease)) | None => {
@@ -189,7 +189,7 @@
             Step::Campaign { stamp } => match campaign(shared, boot, stamp) {
                 Ok(Some((term, leader_stamp, lease))) => {
                     let now = Instant::now();
-                    shared.view.lease_lasts(asked + life);
+                    shared.view.lease_lasts((asked, asked_day), life);
                     machine.won(now, term, leader_stamp);
                     permit = Some(lease);
                     term_stop = Stop::new();
--- a/src/runtime/mod.rs
+++ b/src/runtime/mod.rs
@@ -6,6 +6,7 @@
 pub mod elector;
 pub mod metrics;
 pub mod peering;
+pub mod pulse;
 pub mod service;
 pub mod stop;
 pub mod view;
--- a/src/runtime/peering.rs
+++ b/src/runtime/peering.rs
@@ -19,6 +19,14 @@
 /// one that binds.
 pub fn send_commands(shared: &Shared, client: &ureq::Agent, orders: &Receiver<SendOrder>) {
     while let Ok(o) = orders.recv() {
+        // Judged when it is sent: it may have waited while the leadership went.
+        if !shared.leads(o.term) {
+            let event = Event::Sent(o.term, o.host, None);
+            if shared.events.send(event).is_err() {
+                return;
+            }
+            continue;
+        }
         let Order::Commands(epoch, tenure, directives) = &o.what;
         let body = agent::encode(*epoch, *tenure, directives);
         let answer = match helper(shared, &o.host) {
--- a/src/runtime/service.rs
+++ b/src/runtime/service.rs
@@ -6,9 +6,11 @@
 use super::elector::{self, Sign};
 use super::metrics::Meter;
 use super::peering;
+use super::pulse::Pulse;
 use super::stop::Stop;
 use super::view::{RoleView, View};
 use super::workers::Workers;
+use crate::core::model::Term;
 use crate::net::agent;
 use crate::net::cloud::Cloud;
 use crate::net::front::{self, problem};
@@ -23,7 +25,7 @@
 use std::net::{IpAddr, TcpListener};
 use std::sync::Arc;
 use std::thread::JoinHandle;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime};
 
 /// What the summary line tells about this node's calls.
 #[derive(Default)]
@@ -55,6 +57,7 @@
     pub agent: ureq::Agent,
     pub workers: Workers,
     pub crowd: Crowd,
+    pub pulse: Pulse,
 }
 
 impl Shared {
@@ -68,6 +71,31 @@
         self.peers.iter().find(|p| able.contains(&p.member))
     }
 
+    /// When this process last woke from standing still.
+    pub fn woke(&self) -> Option<Instant> {
+        self.pulse.look(Instant::now(), SystemTime::now())
+    }
+
+    /// So lately that a leader's lease may have ended without its knowing.
+    pub fn woke_of_late(&self) -> bool {
+        let late = self.settings.operations.leader_lease * 2;
+        self.woke().is_some_and(|t| t.elapsed() < late)
+    }
+
+    pub fn leads(&self, term: Term) -> bool {
+        self.view.read().role == RoleView::Leader(term)
+    }
+
+    pub fn surely_leads(&self, term: Term) -> bool {
+        self.view
+            .surely_leads(term, Instant::now(), SystemTime::now())
+    }
+
+    /// What is read now may have waited in its socket while this process stood still.
+    pub fn waking(&self) -> bool {
+        self.pulse.waking(Instant::now(), SystemTime::now())
+    }
+
     pub fn healthy(&self, now: Instant) -> bool {
         self.view.healthy(!self.peers.is_empty(), now)
     }
@@ -94,7 +122,8 @@
                 None => answers.push(problem(400, "malformed report")),
             }
         }
-        if reports.is_empty() {
+        // Reports that waited while we stood still are no news, and their workers have gone on.
+        if reports.is_empty() || self.waking() {
             return answers;
         }
         let (reply, answer) = bounded(1);
@@ -226,6 +255,7 @@
         let agents = settings.operations.agents;
         let sockets = settings.sockets();
         let settings_report = settings.params.report;
+        let pulse = Pulse::new(settings.skew, now, SystemTime::now());
         let shared = Arc::new(Shared {
             settings,
             meters,
@@ -240,6 +270,7 @@
             agent: agent::client(sockets.workers),
             workers: Workers::new(settings_report),
             crowd: Crowd::default(),
+            pulse,
         });
         let mut threads = Vec::new();
         let mut spawn = |name: &str, f: Box<dyn FnOnce() + Send>| -> std::io::Result<()> {
--- a/src/runtime/view.rs
+++ b/src/runtime/view.rs
@@ -7,7 +7,7 @@
 use crate::runtime::budget::Demand;
 use std::collections::{BTreeSet, HashMap, HashSet, VecDeque};
 use std::sync::{RwLock, RwLockReadGuard, RwLockWriteGuard};
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime};
 
 /// Final answers kept in memory. Only these may be answered without asking the state service.
 const FINALS_KEPT: usize = 20_000;
@@ -34,8 +34,9 @@
     finals: HashMap<Uid, Verdict>,
     final_order: VecDeque<Uid>,
     store_failing: Option<Instant>,
-    /// Until when nobody else can have taken the leadership that this node has.
-    leads_until: Option<Instant>,
+    /// Until when nobody else can have taken the leadership that this node has, by both clocks: one of
+    /// them may stand still with the process.
+    leads_until: Option<(Instant, SystemTime)>,
     peers: HashMap<String, PeerWord>,
     pub live_jobs: usize,
 }
@@ -164,15 +165,17 @@
         }
     }
 
-    pub fn lease_lasts(&self, until: Instant) {
-        self.write().leads_until = Some(until);
+    /// A lease of this length was asked for at these times.
+    pub fn lease_lasts(&self, asked: (Instant, SystemTime), life: Duration) {
+        self.write().leads_until = Some((asked.0 + life, asked.1 + life));
     }
 
     /// Whether this node leads in this term for certain: its lease, counted from when its renewal was
     /// asked for, has not run out. A process that stood still, or was cut off, finds out here first.
-    pub fn surely_leads(&self, term: Term, now: Instant) -> bool {
+    pub fn surely_leads(&self, term: Term, now: Instant, day: SystemTime) -> bool {
         let i = self.read();
-        i.role == RoleView::Leader(term) && i.leads_until.is_some_and(|t| now < t)
+        let lasts = |t: (Instant, SystemTime)| now < t.0 && day < t.1;
+        i.role == RoleView::Leader(term) && i.leads_until.is_some_and(lasts)
     }
 
     pub fn store_ok(&self, now: Instant) -> bool {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -77,6 +77,8 @@
 /// A job, or 64 tasks' intents, fit into one value.
 const LEAST_VALUE_KB: f64 = 6.0;
 const LEAST_CLOUD_RPS: f64 = 0.1;
+/// Clocks further apart would tell jobs' ages wrongly by more than any aim allows.
+const MOST_SKEW_MS: f64 = 60_000.0;
 
 /// Operators' settings outside the core.
 #[derive(Clone, Debug)]
@@ -108,6 +110,8 @@
     pub cloud: SocketAddr,
     pub state: SocketAddr,
     pub nodes: usize,
+    /// How far the time of day may be from the true one.
+    pub skew: Duration,
     pub params: Params,
     pub state_rps: f64,
     pub state_write_rps: f64,
@@ -143,6 +147,8 @@
 #[derive(Deserialize)]
 struct Deployment {
     count: usize,
+    #[serde(default)]
+    skew_ms: f64,
     teams: Vec<FileTeam>,
     #[serde(default)]
     objectives: Vec<FileObjective>,
@@ -251,6 +257,9 @@
             return Err(bad("member", "is empty"));
         }
         let d = &f.deployment;
+        if !(0.0..=MOST_SKEW_MS).contains(&d.skew_ms) {
+            return Err(bad("deployment.skew_ms", "must be from 0 to 60000"));
+        }
         if d.count == 0 || d.count > 1000 {
             return Err(bad("deployment.count", "must be from 1 to 1000"));
         }
@@ -338,6 +347,7 @@
             cloud: address("endpoints.cloud", &f.endpoints.cloud)?,
             state: address("endpoints.state", &f.endpoints.state)?,
             nodes: d.count,
+            skew: Duration::from_secs_f64(d.skew_ms / 1000.0),
             state_rps: positive("deployment.state.rps", d.state.rps, 1e9)?,
             state_write_rps: positive("deployment.state.write_rps", d.state.write_rps, 1e9)?,
             cloud_rps: positive("deployment.cloud.rps", d.cloud.rps, 1e9)?,
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -4,6 +4,7 @@
 use cypressgap::core::cluster::{Action, Answer, Cluster};
 use cypressgap::core::ledger::{Batch, BatchOutcome};
 use cypressgap::core::model::*;
+use std::collections::{BTreeMap, HashMap};
 use std::time::{Duration, Instant};
 
 pub const TERM: Term = Term(3);
@@ -117,6 +118,14 @@
         self.now += d;
     }
 
+    /// So many seconds in which the process runs and hears nothing. What it would send is lost.
+    pub fn run(&mut self, seconds: u64) {
+        for _ in 0..seconds {
+            self.pass(secs(1));
+            self.c.tick(self.now);
+        }
+    }
+
     pub fn job(&mut self, spec: JobSpec) {
         self.revision += 1;
         self.c.on_job(spec, self.revision);
@@ -238,3 +247,105 @@
     }
     out
 }
+
+/// Machines that run what they are sent for the job's expected time, on a simulated clock.
+pub struct Fleet {
+    pub w: World,
+    pub serial: u64,
+    pub on: BTreeMap<HostId, Vec<(TaskId, Attempt, Instant)>>,
+    pub begun: HashMap<Uid, Instant>,
+    pub done: HashMap<Uid, u32>,
+    /// Jobs that fail everywhere, and machines that fail everything.
+    pub broken: Vec<Uid>,
+    pub sick: Vec<HostId>,
+    pub launched: HashMap<Uid, u32>,
+    pub rented: u32,
+}
+
+impl Fleet {
+    pub fn new(p: Params, hosts: usize, cpus: f64) -> Fleet {
+        let mut w = World::with(p, vec![host_type("m8", cpus)]);
+        w.c.params.tuning.max_hosts = hosts;
+        w.c.params.tuning.idle_ordinary = secs(100_000);
+        let on = (0..hosts).map(|n| (HostId(format!("i-{n:02}")), vec![]));
+        Fleet {
+            w,
+            serial: 0,
+            on: on.collect(),
+            begun: HashMap::new(),
+            done: HashMap::new(),
+            broken: Vec::new(),
+            sick: Vec::new(),
+            launched: HashMap::new(),
+            rented: 0,
+        }
+    }
+
+    /// One second: all report, finished tasks end, what is launched starts.
+    pub fn second(&mut self, runs: impl Fn(&Uid) -> Duration) {
+        self.serial += 1;
+        let now = self.w.now;
+        for (h, tasks) in &mut self.on {
+            let listed = tasks
+                .iter()
+                .map(|(t, a, since)| {
+                    let over = now - *since >= runs(&t.uid);
+                    let fails = self.broken.contains(&t.uid) || self.sick.contains(h);
+                    let phase = if fails {
+                        TaskPhase::Ended(Exit::Error)
+                    } else if over {
+                        TaskPhase::Ended(Exit::Done)
+                    } else {
+                        TaskPhase::Running
+                    };
+                    shown(&t.uid.0, t.index, *a, phase)
+                })
+                .collect();
+            let (_, directives) = self.w.beat(&h.0, self.serial, listed);
+            for d in directives {
+                match d {
+                    Directive::Launch { task, attempt } => {
+                        self.begun.entry(task.uid.clone()).or_insert(now);
+                        *self.launched.entry(task.uid.clone()).or_default() += 1;
+                        tasks.push((task, attempt, now));
+                    }
+                    Directive::Kill { task, attempt, .. } => {
+                        tasks.retain(|t| (&t.0, t.1) != (&task, attempt))
+                    }
+                    Directive::Forget { task, attempt } => {
+                        if !self.broken.contains(&task.uid) && !self.sick.contains(h) {
+                            *self.done.entry(task.uid.clone()).or_default() += 1;
+                        }
+                        tasks.retain(|t| (&t.0, t.1) != (&task, attempt));
+                    }
+                }
+            }
+        }
+        let until = now + secs(1);
+        while self.w.now < until {
+            self.w.now += Duration::from_millis(100);
+            for a in self.w.c.tick(self.w.now) {
+                match a {
+                    Action::Store(_) => {
+                        self.w.revision += 1;
+                        let revision = self.w.revision;
+                        let now = self.w.now;
+                        self.w.c.on_batch(now, BatchOutcome::Applied { revision });
+                    }
+                    // Commands come with the reports' answers, a second later at most.
+                    Action::Send { host, .. } => {
+                        self.w.c.on_sent(self.w.now, &host, None);
+                    }
+                    Action::Rent { .. } => self.rented += 1,
+                    Action::Return { hosts } => {
+                        for h in &hosts {
+                            self.on.remove(h);
+                        }
+                        self.w.c.on_returned(self.w.now, &hosts);
+                    }
+                    _ => {}
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/tests/mistakes.rs
@@ -0,0 +1,115 @@
+//! Jobs submitted with a mistake, machines that fail everything, and telling the two apart.
+
+mod common;
+
+use common::*;
+use cypressgap::core::model::*;
+
+fn roomy() -> Params {
+    let mut p = params();
+    for t in &mut p.teams {
+        t.cpus_max = None;
+    }
+    p
+}
+
+/// Guards against broken jobs that were launched whole again and again, and against machines that were
+/// given back for their failures; and against sound jobs held up by faulty machines.
+#[test]
+fn broken_jobs_cost_little_and_faulty_machines_are_found() {
+    // Name, broken jobs, faulty machines of 40, most launches beyond the first of each broken task,
+    // machines that must be found faulty.
+    let cases = [
+        ("all well", 0, 0, 0, 0),
+        ("one broken job", 1, 0, 8, 0),
+        ("many broken jobs", 6, 0, 8, 0),
+        ("a few faulty machines", 0, 3, 0, 3),
+        ("many faulty machines", 0, 14, 0, 10),
+        ("both", 3, 8, 12, 5),
+    ];
+    for (name, broken, faulty, most, found) in cases {
+        let mut f = Fleet::new(roomy(), 40, 8.0);
+        f.sick = (0..faulty)
+            .map(|n| HostId(format!("i-{:02}", n * 2)))
+            .collect();
+        let all = f.on.len();
+        for n in 0..12 {
+            let uid = format!("wk-{n:06}");
+            if n % 2 == 1 && n / 2 < broken {
+                f.broken.push(Uid(uid.clone()));
+            }
+            f.w.job(spec(&uid, 80, 1.0));
+        }
+        for _ in 0..150 {
+            f.second(|_| secs(12));
+        }
+        for n in 0..12 {
+            let uid = Uid(format!("wk-{n:06}"));
+            if f.broken.contains(&uid) {
+                let launched = f.launched.get(&uid).copied().unwrap_or(0);
+                assert!(launched <= 80 + most, "{name}: {uid} launched {launched}");
+                assert!(launched >= 3, "{name}: {uid} was given up");
+                assert!(f.w.c.jobs.contains_key(&uid), "{name}: known all along");
+            } else {
+                assert_eq!(f.done.get(&uid), Some(&80), "{name}: {uid}");
+            }
+        }
+        let gone: Vec<_> = f.sick.iter().filter(|h| !f.on.contains_key(h)).collect();
+        assert!(gone.len() >= found, "{name}: {} found", gone.len());
+        assert_eq!(
+            f.on.len() + gone.len(),
+            all,
+            "{name}: no sound machine went"
+        );
+        // Withdrawn, a broken job ends at once.
+        for uid in f.broken.clone() {
+            f.w.c.on_withdrawn(f.w.now, &uid);
+        }
+        f.second(|_| secs(12));
+        f.second(|_| secs(12));
+        f.second(|_| secs(12));
+        assert!(f.w.c.jobs.is_empty(), "{name}");
+    }
+}
+
+#[test]
+fn a_sound_job_is_not_slowed_by_the_first_machines_it_meets() {
+    // All of its first machines but one fail everything: what runs on the last clears it.
+    let mut f = Fleet::new(roomy(), 12, 8.0);
+    f.sick = (0..9).map(|n| HostId(format!("i-{n:02}"))).collect();
+    f.w.job(spec("wk-000001", 96, 1.0));
+    let mut cleared = None;
+    for second in 0..60 {
+        f.second(|_| secs(30));
+        let job = f.w.c.jobs.get(&"wk-000001".into());
+        if second > 2 && cleared.is_none() && job.is_some_and(|j| !j.doubted) {
+            cleared = Some(second);
+        }
+    }
+    assert!(cleared.is_some_and(|s| s < 15), "{cleared:?}");
+    assert!(f.done.get(&"wk-000001".into()).copied().unwrap_or(0) >= 24);
+}
+
+#[test]
+fn nothing_is_rented_or_stopped_for_a_job_in_doubt() {
+    let mut f = Fleet::new(roomy(), 4, 8.0);
+    f.broken.push("wk-000001".into());
+    let mut urgent = spec("wk-000001", 4, 8.0);
+    urgent.urgency = Urgency::Production;
+    f.w.job(urgent);
+    for _ in 0..4 {
+        f.second(|_| secs(500));
+    }
+    assert!(f.w.c.jobs[&Uid::from("wk-000001")].doubted);
+    let before = f.rented;
+    // The machines fill up with other work, and the urgent one's tries find no room.
+    f.w.job(spec("wk-000002", 32, 1.0));
+    f.w.c.params.tuning.max_hosts = 1000;
+    for _ in 0..60 {
+        f.second(|_| secs(500));
+    }
+    assert_eq!(f.rented, before);
+    let other = &f.w.c.jobs[&Uid::from("wk-000002")];
+    assert!(other.active.len() >= 31, "{}", other.active.len());
+    assert!(other.active.values().all(|a| a.kill.is_none()));
+}
