Reports wait for a loading leader; loading keeps what it read; fair parts among guests; renting looks at open machines

Cause: while nobody led, each of 1,650 workers was refused and came back a second later; the nodes did nothing but refuse, the new leader's reads timed out, and it began anew each time. Later, placement rounds took up to 6 s: the plan of rentals looked at every full machine again for each of 1,000 waiting jobs. And the huge job's small tasks filled every gap, so that the archives, which need half a machine, waited for 342 s.

Ruled out: the state service (nothing refused, 10 ms at the median until the processors were full), memory.

--- a/src/core/capacity.rs
+++ b/src/core/capacity.rs
@@ -217,6 +217,16 @@
             *same.entry(&w.uid).or_default() += w.count;
         }
         let most = self.params.tuning.max_hosts;
+        // Imagined machines with room for the least of what waits: with a thousand small jobs waiting,
+        // looking at the full ones again for each took most of the leader's processor.
+        let needs = round.waiting.iter().filter_map(|w| self.jobs.get(&w.uid));
+        let least = needs.map(|j| j.spec.need).reduce(|a, b| Need {
+            cpus: a.cpus.min(b.cpus),
+            gpus: a.gpus.min(b.gpus),
+            memory: a.memory.min(b.memory),
+        });
+        let least = least.unwrap_or_default();
+        let mut open: Vec<usize> = (0..plan.len()).collect();
         for w in &round.waiting {
             let Some(job) = self.jobs.get(&w.uid) else {
                 continue;
@@ -254,18 +264,17 @@
                 }
             };
             let mut left = w.count;
-            for m in plan.iter_mut() {
-                if left == 0 {
-                    break;
-                }
-                let n = spec.need.count_in(&m.free).min(left);
+            open.retain(|i| {
+                let m = &mut plan[*i];
                 let o = &m.offer;
-                if n > 0 && permits(job, &site_of, &o.0, &o.1, o.2) {
+                if left > 0 && spec.need.fits(&m.free) && permits(job, &site_of, &o.0, &o.1, o.2) {
+                    let n = spec.need.count_in(&m.free).min(left);
                     m.free.sub(&spec.need.times(n as f64));
                     m.tasks += n;
                     left -= n;
                 }
-            }
+                least.fits(&m.free)
+            });
             if left == 0 {
                 continue;
             }
@@ -306,6 +315,9 @@
                 let mut free = *room;
                 free.sub(&spec.need.times(n as f64));
                 *crowds.entry(offer.1.clone()).or_default() += 1;
+                if least.fits(&free) {
+                    open.push(plan.len());
+                }
                 plan.push(Imagined {
                     offer: offer.clone(),
                     room: *room,
--- a/src/core/placement.rs
+++ b/src/core/placement.rs
@@ -70,6 +70,8 @@
     pub(super) fetch_gb: f64,
     pub(super) started_images: Vec<ImageKey>,
     pub(super) booked_images: Vec<ImageKey>,
+    /// A task waits here for room to come free; teams beyond their fair part do not fill it up.
+    pub(super) claimed: bool,
 }
 
 /// Prices a half apart or nearer count as equal: spot prices move by a third.
@@ -192,6 +194,8 @@
     kept: Duration,
     crowding: &'a [bool],
     rates: &'a [f64],
+    /// Its team has more than its fair part.
+    beyond: bool,
 }
 
 /// Whether a machine of this type is wanted by waiting tasks far larger than `need`.
@@ -337,6 +341,7 @@
                 fetch_gb,
                 started_images: Vec::new(),
                 booked_images: Vec::new(),
+                claimed: false,
             });
         }
         slots
@@ -345,6 +350,9 @@
     /// Avail + Est + penalty of one slot. None: the task can never run there.
     fn score(&self, now: Instant, g: &Group<'_>, slots: &[Slot<'_>], i: usize) -> Option<Choice> {
         let s = &slots[i];
+        if g.beyond && s.claimed {
+            return None;
+        }
         let t = &self.types[s.type_index];
         let need = &g.job.spec.need;
         let (at, free_now) = s.avail(now, need, &t.room)?;
@@ -402,6 +410,7 @@
     /// One round over the queue. Starts what can start; returns what waits.
     pub(super) fn place(&mut self, now: Instant) -> Round {
         self.sort_order();
+        self.note_usage(now);
         for j in self.jobs.values_mut() {
             let waited = now.saturating_duration_since(j.last_placed) > STARVED;
             if waited && j.turn == 0 && !j.over() && !j.doubted && j.waiting_count() > 0 {
@@ -467,7 +476,8 @@
         let mut used = self.usage.clone();
         let mut limited: Vec<&Uid> = Vec::new();
         let mut taken: HashMap<&Uid, usize> = HashMap::new();
-        for (uid, part) in self.queue_order(now, &within) {
+        let beyond = self.beyond_fair_part();
+        for (uid, part) in self.queue_order(now, &within, &beyond) {
             let Some(job) = self.jobs.get(uid) else {
                 continue;
             };
@@ -521,6 +531,7 @@
                 kept: Duration::ZERO,
                 crowding: &crowding,
                 rates: &rates,
+                beyond: beyond.contains(&spec.owner),
             };
             // Where a task goes decides where its siblings may: they are ranked anew each time.
             let tied = spec.same_place || spec.spread;
@@ -580,6 +591,7 @@
                     });
                 } else {
                     s.book(c.at, c.est + c.penalty, &spec.need);
+                    s.claimed |= !group.beyond && s.up_at.is_none();
                     if c.penalty > Duration::ZERO {
                         // The first booked task brings the image for those behind it.
                         s.booked_images.push(job.image);
@@ -889,6 +901,7 @@
                     kept: Duration::ZERO,
                     crowding: &crowding,
                     rates: &rates,
+                    beyond: false,
                 };
                 let take = |slots: &mut [Slot<'_>], c: &Choice| {
                     let slot = &mut slots[c.slot];
--- a/src/core/queue.rs
+++ b/src/core/queue.rs
@@ -13,19 +13,24 @@
 /// stop borrowed work: were that placed before it, one would be stopped for the other in every round.
 const AGED: Duration = Duration::from_secs(150);
 
-/// A job's place in the queue: urgency, borrowed, not aged, late, size.
-type Place = (Reverse<Urgency>, bool, bool, bool, i64);
+/// Over how long a team's use is averaged.
+const USAGE_OF_LATE: Duration = Duration::from_secs(20);
+
+/// A job's place in the queue: urgency, borrowed, beyond its team's fair part, not aged, late, size.
+type Place = (Reverse<Urgency>, bool, bool, bool, bool, i64);
 
 impl Cluster {
     /// The queue: by urgency, then arrival, with exceptions. A job that has long had nothing placed
     /// goes before all others with a part of its tasks. Within an urgency, what a team's guarantee
-    /// covers goes before what is borrowed. What can still be on time goes before what cannot: in
+    /// covers goes before what is borrowed, and a team that has less than its fair part before one that
+    /// has more. What can still be on time goes before what cannot: in
     /// arrival order alone a short overload makes every job after it late. And while jobs with
     /// deadlines are late, the small ones go first, so that most are on time.
     pub(super) fn queue_order(
         &self,
         now: Instant,
         within: &HashSet<&Uid>,
+        beyond: &HashSet<&TeamName>,
     ) -> Vec<(&Uid, Option<u32>)> {
         let waits = |j: &&Job| {
             // In doubt, one task at a time tries.
@@ -57,10 +62,11 @@
                 };
                 let borrowed = !within.contains(&j.spec.uid);
                 let urgency = Reverse(j.spec.urgency);
+                let beyond = beyond.contains(&j.spec.owner);
                 if now.saturating_duration_since(j.arrived) > AGED {
-                    return ((urgency, borrowed, false, false, 0), *j);
+                    return ((urgency, borrowed, beyond, false, false, 0), *j);
                 }
-                ((urgency, borrowed, true, late, size), *j)
+                ((urgency, borrowed, beyond, true, late, size), *j)
             })
             .collect();
         order.sort_by_key(|o| o.0);
@@ -94,6 +100,48 @@
         age + est > due && age < due + LATE_PATIENCE
     }
 
+    /// What each team uses, on average over a while: tasks that all end at once leave their team none
+    /// for a moment.
+    pub(super) fn note_usage(&mut self, now: Instant) {
+        let Some(before) = self.usage_noted.replace(now) else {
+            self.usage_of_late = self.usage.clone();
+            return;
+        };
+        let passed = now.saturating_duration_since(before).as_secs_f64();
+        let fresh = 1.0 - (-passed / USAGE_OF_LATE.as_secs_f64()).exp();
+        for (team, used) in &self.usage {
+            let mean = self.usage_of_late.entry(team.clone()).or_default();
+            let mut change = *used;
+            change.sub(mean);
+            mean.add(&change.times(fresh));
+        }
+    }
+
+    /// Teams without a guarantee that use more than an even part of what is in use, while others have
+    /// work: one huge job or a flood of small ones would otherwise take all room for as long as it lasts.
+    pub(super) fn beyond_fair_part(&self) -> HashSet<&TeamName> {
+        let mut used: HashMap<&TeamName, Need> = HashMap::new();
+        for j in self.jobs.values().filter(|j| !j.over() && !j.doubted) {
+            let team = &j.spec.owner;
+            let of_team = || self.usage_of_late.get(team).copied().unwrap_or_default();
+            used.entry(team).or_insert_with(of_team);
+        }
+        let mut all = Need::default();
+        for n in used.values() {
+            all.add(n);
+        }
+        let part = 1.0 / used.len().max(1) as f64;
+        let guaranteed = |t: &Team| t.cpus.or(t.gpus).is_some();
+        let team = |name: &TeamName| self.params.teams.iter().find(|t| &t.name == name);
+        let more = |n: &Need| n.cpus > all.cpus * part || n.gpus > all.gpus * part;
+        let free = used
+            .into_iter()
+            .filter(|(name, _)| !team(name).is_some_and(guaranteed));
+        free.filter(|(_, n)| more(n))
+            .map(|(name, _)| name)
+            .collect()
+    }
+
     /// Jobs that fit into their team's guarantee together with its earlier unfinished jobs.
     pub(super) fn within_guarantee(&self) -> HashSet<&Uid> {
         let counts = |j: &&Job| !j.over() && !j.doubted;
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -21,9 +21,9 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-/// Reports that wait for a thread. The rush after all controllers were gone fits in; what does not is
-/// sent on, and comes back a second later.
-const BEATS_WAITING: usize = 256;
+/// Reports that wait for a thread: for so many of the connections, since after an end of the leader all
+/// workers come at once. What does not fit is sent on, and comes back a second later.
+const BEATS_WAITING: f64 = 0.5;
 const USERS_WAITING: usize = 64;
 /// Threads for reports, and the reports that each takes on at a time.
 const BEAT_THREADS: usize = 4;
@@ -50,7 +50,8 @@
     listener: TcpListener,
     spawn: &mut Spawn<'_>,
 ) -> std::io::Result<()> {
-    let (beats, beat_queue) = bounded::<Request>(BEATS_WAITING);
+    let waiting = shared.settings.sockets().front as f64 * BEATS_WAITING;
+    let (beats, beat_queue) = bounded::<Request>(waiting as usize);
     let (users, user_queue) = bounded::<Request>(USERS_WAITING);
     for _ in 0..BEAT_THREADS {
         let (s, q) = (shared.clone(), beat_queue.clone());
@@ -184,7 +185,8 @@
             .iter_mut()
             .map(|r| (r.from, std::mem::take(&mut r.body)))
             .collect();
-        let answers = shared.beats(reports, now);
+        let came = batch.iter().map(|r| r.came).min().unwrap_or(now);
+        let answers = shared.beats(reports, came, now);
         for (r, (status, body)) in batch.into_iter().zip(answers) {
             r.respond_briefly(status, &body, None);
         }
--- a/src/net/store.rs
+++ b/src/net/store.rs
@@ -202,7 +202,9 @@
 const QUESTION_PAUSE: Duration = Duration::from_millis(15);
 /// Nobody is told to come back later than this for want of the rate: users give up after a minute.
 const MOST_RELIEF_S: f64 = 4.0;
-/// Verdicts read together.
+/// Before a page that could not be read is asked for again.
+const LIST_PAUSE: Duration = Duration::from_millis(200);
+/// Keys read together, the most that the service gives.
 const PAGE: usize = 1000;
 
 impl Budgets {
@@ -374,28 +376,62 @@
         rank: Rank,
         limit: Duration,
     ) -> Result<(Vec<Pair<T>>, u64), StoreError> {
+        self.list_patiently(prefix, rank, limit, limit, &Stop::new())
+    }
+
+    /// The same, page by page: one that fails is asked for again until the patience is over, so that
+    /// what has been read already is not read again and again by a node that is busy or short of the
+    /// rate. A watch from the first page's revision makes up for what changes meanwhile.
+    pub fn list_patiently<T: DeserializeOwned>(
+        &self,
+        prefix: &str,
+        rank: Rank,
+        limit: Duration,
+        patience: Duration,
+        stop: &Stop,
+    ) -> Result<(Vec<Pair<T>>, u64), StoreError> {
+        let until = Instant::now() + patience;
         let mut all: Vec<Pair<T>> = Vec::new();
         let mut revision = None;
         loop {
-            self.leave(rank, 0)?;
-            let mut path = format!("/store?Under={prefix}&Most=1000");
-            if let Some(last) = all.last() {
-                path.push_str(&format!("&From={}", last.path));
-            }
-            let a = sent(self.client.call("GET", &path, NONE, limit))?;
-            if a.status != 200 {
-                return Err(StoreError::Unavailable);
-            }
-            let page: ListAnswer<T> = a.decode().ok_or(StoreError::Unavailable)?;
-            let first = *revision.get_or_insert(page.revision);
-            let empty = page.pairs.is_empty();
-            all.extend(page.pairs);
-            if !page.more || empty {
-                return Ok((all, first));
+            let from = all.last().map(|l| l.path.as_str());
+            match self.page::<T>(prefix, from, rank, limit) {
+                Ok(page) => {
+                    let first = *revision.get_or_insert(page.revision);
+                    let empty = page.pairs.is_empty();
+                    all.extend(page.pairs);
+                    if !page.more || empty {
+                        return Ok((all, first));
+                    }
+                }
+                Err(e) => {
+                    if Instant::now() + LIST_PAUSE >= until || stop.wait(LIST_PAUSE) {
+                        return Err(e);
+                    }
+                }
             }
         }
     }
 
+    fn page<T: DeserializeOwned>(
+        &self,
+        prefix: &str,
+        from: Option<&str>,
+        rank: Rank,
+        limit: Duration,
+    ) -> Result<ListAnswer<T>, StoreError> {
+        self.leave(rank, 0)?;
+        let mut path = format!("/store?Under={prefix}&Most={PAGE}");
+        if let Some(last) = from {
+            path.push_str(&format!("&From={last}"));
+        }
+        let a = sent(self.client.call("GET", &path, NONE, limit))?;
+        if a.status != 200 {
+            return Err(StoreError::Unavailable);
+        }
+        a.decode().ok_or(StoreError::Unavailable)
+    }
+
     pub fn txn(
         &self,
         conditions: &[(String, u64)],
--- a/src/runtime/duties.rs
+++ b/src/runtime/duties.rs
@@ -96,7 +96,7 @@
         let mut next = event;
         // What has queued up is taken in one go, so that a late thread catches up.
         while let Some(e) = next {
-            handle(&mut cluster, &mut published, e, now, out);
+            handle(shared, &mut cluster, &mut published, e, now, out);
             done += 1;
             next = if done < 64 {
                 events.try_recv().ok()
@@ -136,6 +136,7 @@
 }
 
 fn handle(
+    shared: &Shared,
     cluster: &mut Option<Cluster>,
     published: &mut HashMap<Uid, (u32, u32)>,
     event: Event,
@@ -145,10 +146,12 @@
     match event {
         Event::Lead(c) => {
             published.clear();
+            shared.view.write().loaded = Some(c.term);
             *cluster = Some(*c);
             return;
         }
         Event::StepDown => {
+            shared.view.write().loaded = None;
             *cluster = None;
             return;
         }
--- a/src/runtime/elector.rs
+++ b/src/runtime/elector.rs
@@ -16,7 +16,7 @@
 use crate::runtime::budget::Rank;
 use crossbeam::channel::{Receiver, Sender};
 use rand::Rng;
-use serde::de::IgnoredAny;
+use serde::de::{DeserializeOwned, IgnoredAny};
 use serde::Deserialize;
 use std::collections::{BTreeSet, HashSet};
 use std::sync::Arc;
@@ -311,7 +311,7 @@
         if stop.stopped() {
             return;
         }
-        match load(shared, term, stamp) {
+        match load(shared, term, stamp, stop) {
             Ok((cluster, revision)) => {
                 let event = Event::Lead(Box::new(cluster));
                 if shared.events.send(event).is_ok() {
@@ -334,7 +334,7 @@
     let uids = live.iter().filter_map(|p| p.path.strip_prefix(prefix));
     let uids: Vec<Uid> = uids.filter_map(Uid::parse).collect();
     let mut over = HashSet::new();
-    let until = Instant::now() + Duration::from_secs(4);
+    let until = Instant::now() + Duration::from_secs(20);
     for part in uids.chunks(questions::most_at_once(shared)) {
         let asked = Asked::new(&shared.store, &shared.stop, Rank::Leader, until);
         let part: BTreeSet<Uid> = part.iter().cloned().collect();
@@ -349,13 +349,29 @@
     Ok(over)
 }
 
-fn load(shared: &Shared, term: Term, stamp: u64) -> Result<(Cluster, u64), StoreError> {
+fn read_all<T: DeserializeOwned>(
+    shared: &Shared,
+    prefix: &str,
+    stop: &Stop,
+) -> Result<(Vec<Pair<T>>, u64), StoreError> {
+    let (limit, patience) = (Duration::from_secs(6), Duration::from_secs(30));
+    shared
+        .store
+        .list_patiently(prefix, Rank::Leader, limit, patience, stop)
+}
+
+fn load(
+    shared: &Shared,
+    term: Term,
+    stamp: u64,
+    stop: &Stop,
+) -> Result<(Cluster, u64), StoreError> {
     let limit = Duration::from_secs(4);
     let rank = Rank::Leader;
     let store = &shared.store;
-    let (live, revision) = store.list::<StoredJob>(ledger::LIVE_PREFIX, rank, limit)?;
-    let (withdrawn, _) = store.list::<IgnoredAny>(ledger::WITHDRAWN_PREFIX, rank, limit)?;
-    let (intents, _) = store.list::<StoredChunk>(ledger::INTENT_PREFIX, rank, limit)?;
+    let (live, revision) = read_all::<StoredJob>(shared, ledger::LIVE_PREFIX, stop)?;
+    let (withdrawn, _) = read_all::<IgnoredAny>(shared, ledger::WITHDRAWN_PREFIX, stop)?;
+    let (intents, _) = read_all::<StoredChunk>(shared, ledger::INTENT_PREFIX, stop)?;
     let history = store.get::<StoredHistory>(ledger::HISTORY_KEY, rank, limit)?;
     let now = Instant::now();
     let now_ms = std::time::SystemTime::now()
--- a/src/runtime/peering.rs
+++ b/src/runtime/peering.rs
@@ -3,7 +3,7 @@
 use super::budget::Demand;
 use super::duties::{Event, Order, SendOrder};
 use super::elector::Sign;
-use super::service::Shared;
+use super::service::{Shared, AWAITED_RELAYED};
 use super::view::RoleView;
 use crate::core::model::*;
 use crate::net::agent;
@@ -195,7 +195,10 @@
                 }
                 Reply::Hello(hello(shared, Vec::new(), Vec::new()))
             }
-            Ask::Beats(bodies) => Reply::Beats(shared.local_beats(&bodies)),
+            Ask::Beats(bodies) => {
+                let until = Instant::now() + AWAITED_RELAYED;
+                Reply::Beats(shared.local_beats(&bodies, until))
+            }
             Ask::Command { endpoint, body } => {
                 Reply::Command(agent::deliver(&shared.agent, &endpoint, &body))
             }
--- a/src/runtime/service.rs
+++ b/src/runtime/service.rs
@@ -40,6 +40,11 @@
 
 /// How long a frame of reports may take to the leader and back: a worker waits 4 s.
 const RELAY_LIMIT: Duration = Duration::from_millis(2500);
+/// How long reports wait for a leader from when they came, or from when a peer passed them on, and how
+/// often that is looked at. With the relay they are answered within the worker's 4 s.
+pub const AWAITED: Duration = Duration::from_millis(2000);
+pub const AWAITED_RELAYED: Duration = Duration::from_millis(1000);
+const AWAIT_PAUSE: Duration = Duration::from_millis(40);
 
 pub struct Shared {
     pub settings: Settings,
@@ -107,8 +112,36 @@
         self.store.budgets().share_out(&peers, now);
     }
 
+    /// Waits until reports can be answered, by this node or by a leader that it knows, and no longer
+    /// than until then. Workers that are refused come back a second later: with all of them doing so
+    /// after the end of a leader, the nodes did nothing but refuse, and the next leader never came to
+    /// load the picture.
+    fn await_leader(&self, until: Instant) {
+        let unready = || {
+            let i = self.view.read();
+            match i.role {
+                RoleView::Leader(t) => i.loaded != Some(t),
+                RoleView::Follower(None) => true,
+                RoleView::Follower(Some(_)) => false,
+            }
+        };
+        while unready() && Instant::now() < until {
+            if self.stop.wait(AWAIT_PAUSE) {
+                return;
+            }
+        }
+    }
+
     /// Reports at this node, answered only if this node leads.
-    pub fn local_beats(&self, bodies: &[Vec<u8>]) -> Vec<(u16, Vec<u8>)> {
+    pub fn local_beats(&self, bodies: &[Vec<u8>], until: Instant) -> Vec<(u16, Vec<u8>)> {
+        self.await_leader(until);
+        let loaded = {
+            let i = self.view.read();
+            i.loaded.is_some_and(|t| i.role == RoleView::Leader(t))
+        };
+        if !loaded {
+            return vec![problem(503, "not leading"); bodies.len()];
+        }
         let mut answers: Vec<(u16, Vec<u8>)> = Vec::with_capacity(bodies.len());
         let mut reports = Vec::with_capacity(bodies.len());
         let mut places = Vec::with_capacity(bodies.len());
@@ -148,10 +181,17 @@
     /// Reports at any node, answered in their order. The leader decides; a follower relays, so that
     /// the work of reading and answering is shared. A node with far more workers than its part sends
     /// some to another.
-    pub fn beats(&self, reports: Vec<(IpAddr, Vec<u8>)>, now: Instant) -> Vec<(u16, Vec<u8>)> {
+    pub fn beats(
+        &self,
+        reports: Vec<(IpAddr, Vec<u8>)>,
+        came: Instant,
+        now: Instant,
+    ) -> Vec<(u16, Vec<u8>)> {
         for (ip, _) in &reports {
             self.workers.saw(*ip, now);
         }
+        let until = came + AWAITED;
+        self.await_leader(until);
         let role = self.view.read().role.clone();
         let leader = match role {
             RoleView::Leader(_) => None,
@@ -182,7 +222,7 @@
             return answers;
         }
         let Some(leader) = leader else {
-            for (n, a) in places.into_iter().zip(self.local_beats(&bodies)) {
+            for (n, a) in places.into_iter().zip(self.local_beats(&bodies, until)) {
                 answers[n] = a;
             }
             return answers;
--- a/src/runtime/view.rs
+++ b/src/runtime/view.rs
@@ -26,6 +26,8 @@
 
 pub struct Inner {
     pub role: RoleView,
+    /// The term whose picture this node has loaded.
+    pub loaded: Option<Term>,
     pub leader: Option<LeaderRecord>,
     pub highest: Term,
     pub types: Vec<HostType>,
@@ -77,6 +79,7 @@
         View {
             inner: RwLock::new(Inner {
                 role: RoleView::Follower(None),
+                loaded: None,
                 leader: None,
                 highest: Term(0),
                 types: Vec::new(),
