A description too long for a value is told 422; end-to-end test of a refused node whose peer asks

Cause: a job naming many machine types was refused by the state service as a malformed transaction, which counted as an outage of the service and was answered 503 again and again. Its size is now bounded before, in the form in which sizes are measured.

--- a/src/core/admission.rs
+++ b/src/core/admission.rs
@@ -11,6 +11,18 @@
     NoType,
     #[error("the job needs more than the team's limit")]
     OverLimit,
+    #[error("the job's description takes up to {size} bytes; one value of the state service holds {limit}")]
+    TooLong { size: usize, limit: usize },
+}
+
+/// Whether the job's description, of this size at most, fits into one value of the state service. A
+/// job of any number of tasks does: only names and lists make it long.
+pub fn fits_a_value(size: usize, limit: usize) -> Result<(), Refusal> {
+    if size <= limit {
+        Ok(())
+    } else {
+        Err(Refusal::TooLong { size, limit })
+    }
 }
 
 pub fn check(spec: &JobSpec, teams: &[Team], types: &[HostType]) -> Result<(), Refusal> {
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -8,7 +8,7 @@
 use super::listen::{self, Limits, Request};
 use super::peer::{Ask, Reply};
 use super::questions;
-use super::wire::{self, JobState, JustUid, Submission};
+use super::wire::{self, JobState, JustUid, StoredJob, Submission};
 use crate::core::admission;
 use crate::core::ledger::{job_key, live_key, withdrawn_key, Verdict};
 use crate::core::model::{JobSpec, Uid};
@@ -382,6 +382,11 @@
     if let Err(why) = admission::check(&spec, &shared.settings.params.teams, &types) {
         return known(shared, &uid, (problem(422, &why.to_string()), None));
     }
+    let stored = StoredJob::from(&spec);
+    let room = shared.settings.params.value_bytes;
+    if let Err(why) = admission::fits_a_value(stored.size_bound(), room) {
+        return known(shared, &uid, (problem(422, &why.to_string()), None));
+    }
     if shared.view.final_answer(&uid).is_some() {
         return known(shared, &uid, unavailable(shared));
     }
@@ -395,7 +400,7 @@
     let conditions = [(job_key(&uid), 0), (live.clone(), 0)];
     let changes = vec![Change::Put {
         key: &live,
-        value: Content::Job(Box::new((&spec).into())),
+        value: Content::Job(Box::new(stored)),
         permit: None,
     }];
     // A team that floods us leaves the others a way in.
--- a/src/net/wire.rs
+++ b/src/net/wire.rs
@@ -187,6 +187,33 @@
     }
 }
 
+/// At most what a text takes in the form in which sizes are measured, quotes and comma included.
+fn text_bound(s: &str) -> usize {
+    let one = |c: char| match c {
+        '"' | '\\' => 2,
+        ' '..='~' => 1,
+        // Escaped, in two halves where it must be.
+        c => 6 * c.len_utf16(),
+    };
+    s.chars().map(one).sum::<usize>() + 3
+}
+
+impl StoredJob {
+    /// At most what it takes as a value of the state service: names and numbers of its fields, and the
+    /// texts.
+    pub fn size_bound(&self) -> usize {
+        const FIELDS: usize = 600;
+        let types: usize = self.types.iter().flatten().map(|t| text_bound(t)).sum();
+        let texts = [&self.uid, &self.class, &self.owner, &self.image.0];
+        let texts: usize = texts
+            .into_iter()
+            .chain(&self.site)
+            .map(|t| text_bound(t))
+            .sum();
+        FIELDS + types + texts
+    }
+}
+
 fn duration(s: f64) -> Option<Duration> {
     Duration::try_from_secs_f64(s).ok()
 }
--- a/tests/end_to_end.rs
+++ b/tests/end_to_end.rs
@@ -229,6 +229,43 @@
     }
 }
 
+/// Guards against users who are kept from true answers by the one node that the state service refuses,
+/// while its peers could ask.
+#[test]
+fn a_node_without_the_state_service_has_a_peer_ask() {
+    let site = Site::new(2);
+    let nodes = [site.start(0), site.start(1)];
+    submit(site.names[0].1, "wk-000007", 1);
+    let follower = until("one leads", || {
+        nodes.iter().position(|n| leads(n).is_none())
+    });
+    until("the other one too", || leads(&nodes[1 - follower]));
+    site.to_state[follower].cut(true);
+    let refused = site.names[follower].1;
+    // Its health says so, since its peer can serve what it cannot.
+    until("unhealthy", || {
+        (call("GET", refused, "/up", None).0 == 503).then_some(())
+    });
+    let phase_of = |uid: &str| call("GET", refused, &format!("/api/jobs/{uid}"), None);
+    until("a known job", || {
+        (phase_of("wk-000007").1.text("Phase") == "queued").then_some(())
+    });
+    until("one never submitted", || {
+        (phase_of("wk-999999").0 == 404).then_some(())
+    });
+    submit(refused, "wk-000008", 1);
+    until("withdrawn by way of the peer", || {
+        let (status, body) = call("POST", refused, "/api/jobs/wk-000008/withdraw", None);
+        (status == 200).then(|| assert_eq!(body.text("Phase"), "withdrawn"))
+    });
+    assert_eq!(phase_of("wk-000008").1.text("Phase"), "withdrawn");
+    let bad = map([("Uid", t("wk-000009"))]);
+    assert_eq!(call("POST", refused, "/api/jobs", Some(&bad)).0, 400);
+    for n in nodes {
+        n.stop();
+    }
+}
+
 /// Guards against two nodes, both without the state service and their peers, that send workers to each
 /// other for good, while the third one leads.
 #[test]
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -1,5 +1,6 @@
 //! Bodies from outside, well-formed and not.
 
+use cypressgap::core::admission::fits_a_value;
 use cypressgap::core::model::*;
 use cypressgap::net::peer::{read_frame, write_frame, Ask, Hello};
 use cypressgap::net::wire::{decode, encode, StoredJob, Submission, WireReport};
@@ -200,3 +201,29 @@
         assert!(read_frame::<Ask>(&mut &frame[..]).is_err());
     }
 }
+
+/// Guards against a job that is taken for an outage of the state service because its value is refused.
+#[test]
+fn a_description_too_long_for_a_value_is_told_so() {
+    let long = |n: usize, c: char| {
+        (0..n)
+            .map(|_| c.to_string().repeat(200))
+            .collect::<Vec<_>>()
+    };
+    // Machine types named, and whether 8 KiB hold them.
+    let cases = [
+        ("none", vec![], true),
+        ("some", long(20, 'a'), true),
+        ("many", long(45, 'a'), false),
+        ("few that are escaped", long(10, '\u{1}'), false),
+        ("few beyond the plane", long(5, '\u{1F600}'), false),
+    ];
+    for (name, types, fits) in cases {
+        let mut s = read(&submission()).expect("a submission");
+        s.host_types = Some(types.iter().map(|t| t.as_str().into()).collect());
+        let size = StoredJob::from(&s).size_bound();
+        // The bound holds: this form is shorter than the one that sizes are measured in.
+        assert!(size > encode(&StoredJob::from(&s)).len(), "{name}");
+        assert_eq!(fits_a_value(size, 8 * 1024).is_ok(), fits, "{name}: {size}");
+    }
+}
