--- a/tests/end_to_end.rs
+++ b/tests/end_to_end.rs
@@ -5,11 +5,14 @@
 mod standins;
 
 use cypressgap::core::model::Term;
+use cypressgap::runtime::budget::Rank;
 use cypressgap::runtime::service::Service;
+use cypressgap::runtime::stop::Stop;
 use cypressgap::runtime::view::RoleView;
 use cypressgap::settings::Settings;
 use standins::*;
 use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 const PATIENCE: Duration = Duration::from_secs(60);
@@ -229,6 +232,51 @@
     }
 }
 
+/// Guards against nodes that do nothing but refuse reports while the next leader tries to load its
+/// picture: reports wait a little for it, and what it has read it keeps.
+#[test]
+fn reports_wait_for_a_leader_and_pages_are_asked_for_again() {
+    let site = Site::new(1);
+    site.state.out.store(true, Ordering::SeqCst);
+    let node = site.start(0);
+    let report = map([
+        ("Host", t("i-1")),
+        ("Endpoint", t("127.0.0.1:9")),
+        ("HostType", t("m8")),
+        ("Site", t("a")),
+        ("Preemptible", Any::Bool(false)),
+        ("Tenure", Any::Int(1)),
+        ("Serial", Any::Int(1)),
+        ("Epoch", Any::Int(0)),
+        ("Shards", Any::List(vec![])),
+    ]);
+    let beat = || call("POST", site.names[0].1, "/agent/beat", Some(&report)).0;
+    let asked = Instant::now();
+    assert_eq!(beat(), 503, "nobody leads");
+    assert!(
+        asked.elapsed() >= Duration::from_secs(1),
+        "it waited for that"
+    );
+    // A page that cannot be read is asked for until the service is back.
+    let store = &node.shared.store;
+    let (limit, stop) = (Duration::from_secs(4), Stop::new());
+    let list = |patience| {
+        store
+            .list_patiently::<Any>("ctl/", Rank::User, limit, patience, &stop)
+            .is_ok()
+    };
+    assert!(!list(Duration::ZERO));
+    let state = site.state.clone();
+    let back = std::thread::spawn(move || {
+        std::thread::sleep(Duration::from_millis(700));
+        state.out.store(false, Ordering::SeqCst);
+    });
+    assert!(list(PATIENCE));
+    back.join().expect("the switch");
+    until("the leader answers", || (beat() == 200).then_some(()));
+    node.stop();
+}
+
 /// Guards against users who are kept from true answers by the one node that the state service refuses,
 /// while its peers could ask.
 #[test]
