Ordinary work starts at the pace of the processors; leases as long as the strain asks

Ruled out: the state service (7 refusals), sockets (3,455 of 3,500 were a consequence), memory.

Now nodes tell each other how late their timers fire; while the worst is late, ordinary work starts at a falling rate and nothing is rented for it, urgent and guaranteed work goes on; leases taken under strain are longer.

--- a/src/core/cluster.rs
+++ b/src/core/cluster.rs
@@ -9,6 +9,7 @@
 use super::history::History;
 use super::ledger::{self, ChunkValue, InFlight, CHUNK};
 use super::model::*;
+use super::pace::Pace;
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 use std::time::{Duration, Instant};
 
@@ -77,6 +78,7 @@
     pub usage: HashMap<TeamName, Need>,
     pub(super) usage_of_late: HashMap<TeamName, Need>,
     pub(super) usage_noted: Option<Instant>,
+    pub pace: Pace,
     pub history: History,
     pub capacity: Capacity,
     pub order: Vec<Uid>,
@@ -139,6 +141,7 @@
             usage: HashMap::new(),
             usage_of_late: HashMap::new(),
             usage_noted: None,
+            pace: Pace::default(),
             history: History::default(),
             capacity: Capacity::default(),
             order: Vec::new(),
--- a/src/core/leadership.rs
+++ b/src/core/leadership.rs
@@ -134,6 +134,11 @@
         }
     }
 
+    /// The lease of the next term has another length.
+    pub fn renew_every(&mut self, every: Duration) {
+        self.renew_every = every;
+    }
+
     pub fn renewed(&mut self, now: Instant) {
         self.last_renewal = Some(now);
     }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -12,6 +12,7 @@
 pub mod leadership;
 pub mod ledger;
 pub mod model;
+pub mod pace;
 pub mod placement;
 mod preemption;
 mod queue;
--- a/src/core/placement.rs
+++ b/src/core/placement.rs
@@ -13,7 +13,7 @@
 use super::history::fetch_at;
 use super::model::*;
 use std::cmp::{Ordering, Reverse};
-use std::collections::{BinaryHeap, HashMap};
+use std::collections::{BinaryHeap, HashMap, HashSet};
 use std::time::{Duration, Instant};
 
 /// Tasks looked at in one round. A longer queue waits for the rounds to come.
@@ -270,6 +270,8 @@
     kills: Vec<(TaskId, bool)>,
     waiting: Vec<Waiting>,
     spare: Vec<(HostId, Need)>,
+    /// Ordinary work waits for the controllers' processors, not for machines.
+    paced: bool,
 }
 
 impl Cluster {
@@ -418,7 +420,9 @@
                 j.starved = true;
             }
         }
+        self.pace.round(now);
         let plan = self.plan(now);
+        self.pace.started(plan.starts.len());
         let mut gang: Option<(Uid, Attempt)> = None;
         for s in plan.starts {
             // A gang's members share their attempt's number.
@@ -470,7 +474,9 @@
             kills: Vec::new(),
             waiting: Vec::new(),
             spare: Vec::new(),
+            paced: false,
         };
+        let quota = self.pace.left();
         let mut looked = 0;
         let mut longest = Duration::ZERO;
         let mut used = self.usage.clone();
@@ -491,6 +497,7 @@
                 }
                 continue;
             }
+            let ordinary = self.is_ordinary(spec, &within);
             let before = taken.get(uid).copied().unwrap_or(0);
             let waits = (job.waiting_count() as usize).saturating_sub(before);
             let most = part.map_or(waits, |p| (p as usize).min(waits));
@@ -549,6 +556,10 @@
                 pending.sort_by_key(|i| (Reverse(steps(i)), *i));
             }
             for index in pending {
+                if ordinary && plan.starts.len() >= quota {
+                    plan.paced = true;
+                    break;
+                }
                 if !team.allows(&sum, &spec.need) {
                     limited.push(uid);
                     break;
@@ -619,8 +630,11 @@
             used.insert(spec.owner.clone(), sum);
         }
         // Nothing is rented, kept or stopped for a job that would only fail there too.
-        plan.waiting
-            .retain(|w| self.jobs.get(&w.uid).is_some_and(|j| !j.doubted));
+        let paced = plan.paced;
+        plan.waiting.retain(|w| {
+            let job = self.jobs.get(&w.uid);
+            job.is_some_and(|j| !j.doubted && !(paced && self.is_ordinary(&j.spec, &within)))
+        });
         limited.retain(|u| self.jobs.get(*u).is_some_and(|j| !j.doubted));
         plan.kills = self.preempt(now, &plan.waiting, &slots, &within, &rates);
         self.preempt_own(now, &limited, &within, &mut plan.kills);
@@ -628,6 +642,11 @@
         plan
     }
 
+    /// Work that may wait while the controllers cannot keep up: neither urgent nor within a guarantee.
+    fn is_ordinary(&self, spec: &JobSpec, within: &HashSet<&Uid>) -> bool {
+        spec.urgency <= Urgency::Standard && !within.contains(&spec.uid)
+    }
+
     pub(super) fn site_of(&self) -> impl Fn(&HostId) -> Option<Site> + '_ {
         |h| {
             let host = self.hosts.get(h)?;
--- a/src/net/peer.rs
+++ b/src/net/peer.rs
@@ -25,6 +25,8 @@
     /// Changes a second of the state service that its users, and its duties as leader, asked for.
     pub users_changes: f64,
     pub leader_changes: f64,
+    /// How late its timers fire, in milliseconds.
+    pub strain_ms: u32,
     /// From the leader: jobs whose counts changed (done, running), for display.
     pub progress: Vec<(String, u32, u32)>,
     /// From the leader: jobs that are over.
--- a/src/runtime/duties.rs
+++ b/src/runtime/duties.rs
@@ -64,6 +64,9 @@
 /// Jobs' counts are for display: users may learn of them a second late.
 const PUBLISH_EVERY: Duration = Duration::from_millis(1000);
 
+/// Between two ticks.
+const TICK: Duration = Duration::from_millis(150);
+
 /// How often the state service's changes are shared out anew.
 const SHARE_EVERY: Duration = Duration::from_millis(500);
 
@@ -71,6 +74,7 @@
 pub fn core_loop(shared: &Shared, events: &Receiver<Event>, out: &Outlets) {
     let mut cluster: Option<Cluster> = None;
     let mut next_tick = Instant::now();
+    let mut last_tick = next_tick;
     let mut published = HashMap::new();
     let mut next_publish = Instant::now();
     let mut next_share = Instant::now();
@@ -104,18 +108,29 @@
                 None
             };
         }
+        let ticking = now >= next_tick;
+        if ticking {
+            // The last tick's own length counts: in a node that cannot keep up that is what grows.
+            let passed = now.saturating_duration_since(last_tick);
+            shared.strain.fired(passed.saturating_sub(TICK));
+            last_tick = now;
+        }
         let Some(c) = cluster.as_mut() else {
-            next_tick = now + Duration::from_millis(500);
+            if ticking {
+                next_tick = Instant::now() + TICK;
+            }
             continue;
         };
-        let ticking = now >= next_tick;
         c.allow(shared.store.changes_left());
         let certain = shared.surely_leads(c.term);
         c.confirm(certain);
+        if ticking {
+            c.pace.strain(now, shared.worst_strain());
+        }
         let actions = if ticking { c.tick(now) } else { c.flush(now) };
         if ticking {
             let took = now.elapsed();
-            next_tick = now + Duration::from_millis(150);
+            next_tick = Instant::now() + TICK;
             shared.meters.rounds.record(took);
             c.tick_took(took);
             // In an outage nobody could take over; and a lease that is lost anyway ends by itself.
@@ -312,9 +327,11 @@
     let queued: u32 = c.jobs.values().map(|j| j.waiting_count()).sum();
     let active: usize = c.jobs.values().map(|j| j.active.len()).sum();
     log::info!(
-        "summary term={} jobs={} queued={queued} active={active} hosts={} {} {} {} {}",
+        "summary term={} jobs={} queued={queued} active={active} strain_ms={} starts_bound={} hosts={} {} {} {} {}",
         c.term.0,
         c.jobs.len(),
+        shared.strain.now().as_millis(),
+        c.pace.bound().map_or(-1.0, f64::round),
         c.hosts.len(),
         m.starts.facts("starts"),
         m.rounds.facts("rounds"),
--- a/src/runtime/elector.rs
+++ b/src/runtime/elector.rs
@@ -27,6 +27,9 @@
 const RESIGNED: Duration = Duration::from_secs(10);
 /// How long a node that no worker reports to leaves the leadership to others.
 const YIELD: Duration = Duration::from_millis(900);
+/// Timers this late double the leader's lease, at most `MOST_LONGER` times more is added to it.
+const STRAINED: Duration = Duration::from_millis(200);
+const MOST_LONGER: f64 = 3.0;
 const WATCH_BLOCK: Duration = Duration::from_secs(5);
 
 /// What the elector hears.
@@ -113,7 +116,7 @@
 
 /// Campaigns and renews; starts and stops what a term needs.
 pub fn elect(shared: &Arc<Shared>, signs: &Receiver<Sign>) {
-    let life = shared.settings.operations.leader_lease;
+    let mut life = shared.settings.operations.leader_lease;
     let boot: u64 = rand::thread_rng().gen::<u64>() >> 1;
     let mut machine = Leadership::new(&shared.settings.member, boot, life / 4);
     let mut permit = None;
@@ -186,8 +189,9 @@
                 shared.step_down();
                 publish(shared, &machine);
             }
-            Step::Campaign { stamp } => match campaign(shared, boot, stamp) {
+            Step::Campaign { stamp } => match campaign(shared, boot, stamp, &mut life) {
                 Ok(Some((term, leader_stamp, lease))) => {
+                    machine.renew_every(life / 4);
                     let now = Instant::now();
                     shared.view.lease_lasts((asked, asked_day), life);
                     machine.won(now, term, leader_stamp);
@@ -258,12 +262,16 @@
     shared: &Shared,
     boot: u64,
     stamp: u64,
+    life: &mut Duration,
 ) -> Result<Option<(Term, u64, u64)>, StoreError> {
     let counter = shared.store.get::<u64>(TERM_KEY, Rank::Leader, CALL)?;
     let (old, term_stamp) = counter.map_or((0, 0), |e| (e.value, e.stamp));
-    let lease = shared
-        .store
-        .lease(shared.settings.operations.leader_lease, CALL)?;
+    // Nodes that cannot keep up renew late: with a lease that is short for that, each leader lost it
+    // while it loaded, and the next one began anew.
+    let strain = shared.worst_strain().as_secs_f64() / STRAINED.as_secs_f64();
+    let longer = 1.0 + strain.min(MOST_LONGER);
+    *life = shared.settings.operations.leader_lease.mul_f64(longer);
+    let lease = shared.store.lease(*life, CALL)?;
     let term = old + 1;
     let conditions = [
         (LEADER_KEY.to_owned(), stamp),
--- a/src/runtime/metrics.rs
+++ b/src/runtime/metrics.rs
@@ -48,3 +48,27 @@
         format!("{name}={n} {name}_ms_p50={p50:.1} {name}_ms_p95={p95:.1}")
     }
 }
+
+/// How late this node's own timers fire, on average over the last few: in a process that runs out of its
+/// share of the processor, everything is late.
+#[derive(Default)]
+pub struct Strain {
+    late: Mutex<Duration>,
+}
+
+/// Of the last timer in the average.
+const LAST_PART: f64 = 0.15;
+
+impl Strain {
+    pub fn fired(&self, late: Duration) {
+        let mut mean = self.late.lock().unwrap_or_else(|e| e.into_inner());
+        *mean = mean.mul_f64(1.0 - LAST_PART) + late.min(MOST_LATE).mul_f64(LAST_PART);
+    }
+
+    pub fn now(&self) -> Duration {
+        *self.late.lock().unwrap_or_else(|e| e.into_inner())
+    }
+}
+
+/// A standstill is no strain: one such timer must not count for many.
+const MOST_LATE: Duration = Duration::from_secs(2);
--- a/src/runtime/peering.rs
+++ b/src/runtime/peering.rs
@@ -4,7 +4,7 @@
 use super::duties::{Event, Order, SendOrder};
 use super::elector::Sign;
 use super::service::{Shared, AWAITED_RELAYED};
-use super::view::RoleView;
+use super::view::{PeerWord, RoleView};
 use crate::core::model::*;
 use crate::net::agent;
 use crate::net::front;
@@ -108,6 +108,7 @@
         workers: shared.workers.count(now),
         users_changes: demand.users,
         leader_changes: demand.leader,
+        strain_ms: shared.strain.now().as_millis() as u32,
         progress,
         over,
     }
@@ -160,9 +161,14 @@
         users: h.users_changes,
         leader: h.leader_changes,
     };
-    shared
-        .view
-        .peer_said(&h.member, h.store_ok, h.workers, demand, now);
+    let word = PeerWord {
+        at: now,
+        store_ok: h.store_ok,
+        workers: h.workers,
+        demand,
+        strain: Duration::from_millis(h.strain_ms.into()),
+    };
+    shared.view.peer_said(&h.member, word);
     if let Some(term) = h.leads {
         let own = shared.view.read().highest;
         if Term(term) > own {
--- a/src/runtime/service.rs
+++ b/src/runtime/service.rs
@@ -4,7 +4,7 @@
 use super::clerks;
 use super::duties::{self, BeatReply, Event, Outlets};
 use super::elector::{self, Sign};
-use super::metrics::Meter;
+use super::metrics::{Meter, Strain};
 use super::peering;
 use super::pulse::Pulse;
 use super::stop::Stop;
@@ -63,6 +63,7 @@
     pub workers: Workers,
     pub crowd: Crowd,
     pub pulse: Pulse,
+    pub strain: Strain,
 }
 
 impl Shared {
@@ -81,6 +82,12 @@
         self.pulse.look(Instant::now(), SystemTime::now())
     }
 
+    /// How late timers fire on the node that is worst off, as far as this one knows.
+    pub fn worst_strain(&self) -> Duration {
+        let peers = self.view.strain_of_peers(Instant::now());
+        peers.max(self.strain.now())
+    }
+
     /// So lately that a leader's lease may have ended without its knowing.
     pub fn woke_of_late(&self) -> bool {
         let late = self.settings.operations.leader_lease * 2;
@@ -311,6 +318,7 @@
             workers: Workers::new(settings_report),
             crowd: Crowd::default(),
             pulse,
+            strain: Strain::default(),
         });
         let mut threads = Vec::new();
         let mut spawn = |name: &str, f: Box<dyn FnOnce() + Send>| -> std::io::Result<()> {
--- a/src/runtime/view.rs
+++ b/src/runtime/view.rs
@@ -44,12 +44,14 @@
 }
 
 /// What a peer said of itself last.
-#[derive(Clone, Copy)]
-struct PeerWord {
-    at: Instant,
-    store_ok: bool,
-    workers: u32,
-    demand: Demand,
+#[derive(Clone, Copy, Debug)]
+pub struct PeerWord {
+    pub at: Instant,
+    pub store_ok: bool,
+    /// Those that report to it.
+    pub workers: u32,
+    pub demand: Demand,
+    pub strain: Duration,
 }
 
 pub struct View {
@@ -187,23 +189,17 @@
             .is_none_or(|t| now.saturating_duration_since(t) < STORE_LOST)
     }
 
-    pub fn peer_said(
-        &self,
-        member: &str,
-        store_ok: bool,
-        workers: u32,
-        demand: Demand,
-        now: Instant,
-    ) {
-        let word = PeerWord {
-            at: now,
-            store_ok,
-            workers,
-            demand,
-        };
+    pub fn peer_said(&self, member: &str, word: PeerWord) {
         self.write().peers.insert(member.to_owned(), word);
     }
 
+    /// How late timers fire on the peer that is worst off, of those heard of late.
+    pub fn strain_of_peers(&self, now: Instant) -> Duration {
+        let i = self.read();
+        let fresh = i.peers.values().filter(|p| p.is_fresh(now));
+        fresh.map(|p| p.strain).max().unwrap_or_default()
+    }
+
     /// Peers heard of late that reach the state service.
     pub fn able_peers(&self, now: Instant) -> Vec<String> {
         let i = self.read();
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -13,7 +13,7 @@
 use cypressgap::net::store::Budgets;
 use cypressgap::runtime::budget::{Bucket, Demand, Rank};
 use cypressgap::runtime::metrics::Meter;
-use cypressgap::runtime::view::View;
+use cypressgap::runtime::view::{PeerWord, View};
 use std::time::{Duration, Instant};
 
 type Edit = fn(&mut JobSpec);
@@ -460,7 +460,14 @@
             view.store_answered(false, now - secs(s));
         }
         if let Some((ok, ago)) = peer {
-            view.peer_said("worker-1", ok, 0, Demand::default(), now - secs(ago));
+            let word = PeerWord {
+                at: now - secs(ago),
+                store_ok: ok,
+                workers: 0,
+                demand: Demand::default(),
+                strain: secs(0),
+            };
+            view.peer_said("worker-1", word);
         }
         assert_eq!(view.healthy(true, now), healthy, "{name}");
         if peer.is_none() {
--- a/tests/guests.rs
+++ b/tests/guests.rs
@@ -4,6 +4,7 @@
 
 use common::*;
 use cypressgap::core::model::*;
+use cypressgap::core::pace::Pace;
 
 /// Two teams without a guarantee or limit, `red` and `grey`, and `blue` with a guarantee.
 fn teams() -> Params {
@@ -101,3 +102,83 @@
         "{launched} launched, {done} done"
     );
 }
+
+/// Guards against nodes that drown: a huge job of short tasks on thousands of machines had reports and
+/// users unanswered and leases run out.
+#[test]
+fn ordinary_work_starts_at_the_pace_of_the_processors() {
+    // Milliseconds that timers are late, for seconds; starts that are wanted a second; then the bound.
+    type Case = (
+        &'static str,
+        &'static [(u64, u64)],
+        usize,
+        Option<(f64, f64)>,
+    );
+    let cases: [Case; 6] = [
+        ("all timely", &[(20, 60)], 500, None),
+        ("a little late", &[(250, 60)], 500, None),
+        (
+            "late for a moment",
+            &[(20, 20), (600, 1)],
+            500,
+            Some((300.0, 500.0)),
+        ),
+        (
+            "late for long",
+            &[(20, 20), (600, 30)],
+            500,
+            Some((20.0, 30.0)),
+        ),
+        (
+            "for ever: it goes on",
+            &[(1500, 600)],
+            500,
+            Some((20.0, 20.1)),
+        ),
+        ("timely again", &[(20, 20), (600, 5), (20, 60)], 500, None),
+    ];
+    for (name, phases, wanted, bound) in cases {
+        let mut pace = Pace::default();
+        let mut now = std::time::Instant::now();
+        let mut started = 0;
+        for (late, seconds) in phases {
+            started = 0;
+            for _ in 0..seconds * 5 {
+                now += std::time::Duration::from_millis(200);
+                pace.strain(now, std::time::Duration::from_millis(*late));
+                pace.round(now);
+                let n = pace.left().min(wanted / 5);
+                pace.started(n);
+                started += n;
+            }
+        }
+        match (pace.bound(), bound) {
+            (None, None) => assert!(started >= wanted, "{name}"),
+            (Some(b), Some((least, most))) => {
+                assert!((least..=most).contains(&b), "{name}: {b}");
+                assert!(started >= 10, "{name}: it never stops, {started}");
+            }
+            other => panic!("{name}: {other:?}"),
+        }
+    }
+}
+
+#[test]
+fn urgent_work_starts_whatever_the_pace() {
+    let mut f = Fleet::new(teams(), 10, 8.0);
+    f.w.job(owned("wk-000001", "grey", 500, 1.0, Urgency::Standard));
+    f.w.job(owned("wk-000002", "red", 30, 1.0, Urgency::High));
+    f.w.job(owned("wk-000003", "blue", 14, 1.0, Urgency::Standard));
+    // Late all the time: the controllers cannot follow.
+    for _ in 0..3 {
+        for _ in 0..10 {
+            f.w.now += std::time::Duration::from_millis(100);
+            f.w.c.pace.strain(f.w.now, secs(2));
+        }
+        f.second(|_| secs(500));
+    }
+    assert_eq!(f.launched.get(&"wk-000002".into()), Some(&30));
+    assert_eq!(f.launched.get(&"wk-000003".into()), Some(&14));
+    let ordinary = f.launched.get(&"wk-000001".into()).copied().unwrap_or(0);
+    assert!(ordinary < 80 - 44, "{ordinary}");
+}
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -185,6 +185,7 @@
         store_ok: true,
         users_changes: 3.5,
         leader_changes: 0.0,
+        strain_ms: 12,
         workers: 3,
         progress: vec![("wk-000001".into(), 1, 2)],
         over: vec![],
