--- a/src/core/placement.rs
+++ b/src/core/placement.rs
@@ -633,7 +633,7 @@
         let paced = plan.paced;
         plan.waiting.retain(|w| {
             let job = self.jobs.get(&w.uid);
-            job.is_some_and(|j| !j.doubted && !(paced && self.is_ordinary(&j.spec, &within)))
+            job.is_some_and(|j| !(j.doubted || paced && self.is_ordinary(&j.spec, &within)))
         });
         limited.retain(|u| self.jobs.get(*u).is_some_and(|j| !j.doubted));
         plan.kills = self.preempt(now, &plan.waiting, &slots, &within, &rates);
