--- a/src/core/capacity.rs
+++ b/src/core/capacity.rs
@@ -260,7 +260,8 @@
                     (false, true) => wait > boot,
                     (false, false) => wait > boot.mul_f64(RENT_SHARE),
                     (true, true) => wait > boot.mul_f64(1.2) + RENT_MARGIN,
-                    (true, false) => wait > boot + DEAR_PATIENCE,
+                    // Idle work is for machines that would stand idle, and for cheap ones.
+                    (true, false) => wait > boot + DEAR_PATIENCE && spec.urgency > Urgency::Idle,
                 }
             };
             let mut left = w.count;
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -515,6 +515,41 @@
     assert_eq!(rentals(&w.settle()), vec![], "coming up");
 }
 
+/// Guards against ordinary machines at several times the price for work that is meant to run when idle.
+#[test]
+fn dear_machines_are_not_for_idle_work() {
+    for (urgency, dear) in [(Urgency::Idle, false), (Urgency::Standard, true)] {
+        let mut w = renting();
+        w.beat("i-1", 1, vec![]);
+        let mut long = spec("wk-000001", 1, 8.0);
+        long.expected = secs(3000);
+        w.job(long);
+        let first = w.settle();
+        let (_, t, a) = launches(&first)[0].clone();
+        // Asked for while the machine had not reported: the cloud has none.
+        for (claim, ..) in rentals(&first) {
+            w.c.on_rented(w.now, &claim, Rented::NoCapacity);
+        }
+        let mut waits = spec("wk-000002", 1, 8.0);
+        waits.urgency = urgency;
+        w.job(waits);
+        let mut asked = Vec::new();
+        for n in 0..80 {
+            let running = shown(&t.uid.0, t.index, a, TaskPhase::Running);
+            w.beat("i-1", n + 2, vec![running]);
+            for (claim, spot, _) in rentals(&w.settle()) {
+                asked.push(spot);
+                w.c.on_rented(w.now, &claim, Rented::NoCapacity);
+            }
+        }
+        assert!(
+            asked.contains(&true),
+            "{urgency:?}: cheap ones are asked for"
+        );
+        assert_eq!(asked.contains(&false), dear, "{urgency:?}");
+    }
+}
+
 #[test]
 fn a_rental_of_unknown_outcome_is_repeated_under_its_claim_and_a_refused_one_is_not() {
     let mut w = renting();
