--- a/src/core/cluster.rs
+++ b/src/core/cluster.rs
@@ -10,8 +10,9 @@
 use super::ledger::{self, ChunkValue, InFlight, CHUNK};
 use super::model::*;
 use super::pace::Pace;
+use super::watermark::{self, Moment, Watermark, Word};
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime};
 
 /// Rounds take one part in so many of the time, and come within these bounds.
 const ROUND_SHARE: u32 = 5;
@@ -64,6 +65,8 @@
     },
     /// Stale, or from a host that is gone: nothing was taken from it.
     Ignore,
+    /// Taken, but not to be answered: a renewed lease could outlast a withdrawal that is not known here.
+    Withheld,
     /// The worker follows a higher term than ours.
     Superseded(Term),
 }
@@ -119,6 +122,10 @@
     /// The leadership is not in doubt.
     pub(super) confirmed: bool,
     pub(super) last_return: Option<Instant>,
+    /// Up to when all confirmed withdrawals are known.
+    watermark: Watermark,
+    /// Both clocks as they were last read together.
+    clocks: Moment,
 }
 
 impl Cluster {
@@ -131,6 +138,8 @@
         started_ms: u64,
     ) -> Self {
         let next_summary = now + params.tuning.summary_every;
+        let day = SystemTime::UNIX_EPOCH + Duration::from_millis(started_ms);
+        let clocks = Moment { steady: now, day };
         Cluster {
             params,
             term,
@@ -174,12 +183,47 @@
             awake_since: now,
             confirmed: true,
             last_return: None,
+            watermark: Watermark::new(clocks, []),
+            clocks,
         }
     }
 
+    /// The other nodes, which confirm withdrawals too, and when the picture's first read was asked for.
+    pub fn confirmed_by(&mut self, peers: impl IntoIterator<Item = String>, read: Moment) {
+        self.watermark = Watermark::new(read, peers);
+    }
+
+    /// What both clocks say now.
+    pub fn clocks(&mut self, now: Moment) {
+        self.clocks = now;
+    }
+
+    /// All withdrawals that the state service showed when it was asked have been taken on.
+    pub fn withdrawals_read(&mut self, asked: Moment) {
+        self.watermark.read(asked);
+    }
+
+    /// All withdrawals that a node told have been taken on.
+    pub fn withdrawals_told(&mut self, peer: &str, word: Word) {
+        self.watermark.told(peer, word);
+    }
+
+    /// Whether reports may be answered: a lease renewed now ends in time for any withdrawal.
+    pub fn renews(&self, now: Instant) -> bool {
+        let (patience, _) = watermark::patience(self.params.lease, self.params.cancel);
+        self.watermark.renews(self.clocks.at(now), patience)
+    }
+
     /// Whether this node leads for certain. While it does not, what looks silent or idle from here may
     /// be at work for another leader.
     pub fn confirm(&mut self, confirmed: bool) {
+        if confirmed && !self.confirmed {
+            // Launches that were held back.
+            let waiting = |a: &&Active| a.durable && a.given.is_none() && a.kill.is_none();
+            let active = self.jobs.values().flat_map(|j| j.active.values());
+            self.urgent
+                .extend(active.filter(waiting).map(|a| a.host.clone()));
+        }
         self.confirmed = confirmed;
     }
 
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -18,3 +18,4 @@
 mod queue;
 mod reports;
 mod returning;
+pub mod watermark;
--- a/src/core/reports.rs
+++ b/src/core/reports.rs
@@ -14,12 +14,30 @@
 impl Cluster {
     /// A report, or the body of a direct answer (`beat` false: it renews no lease).
     pub fn on_report(&mut self, now: Instant, r: Report, beat: bool) -> Answer {
+        let host = r.host.clone();
+        let renews = self.renews(now);
+        match self.take_report(now, r, beat, renews) {
+            Answer::Accept { directives, .. } if beat && !renews => {
+                // What cannot go with the answer goes by itself; direct commands renew no lease.
+                let kill = |d: &Directive| matches!(d, Directive::Kill { .. });
+                if directives.iter().any(kill) {
+                    self.urgent.insert(host);
+                }
+                Answer::Withheld
+            }
+            answer => answer,
+        }
+    }
+
+    /// `renews`: the answer may go to the worker, and then renews its lease.
+    fn take_report(&mut self, now: Instant, r: Report, beat: bool, renews: bool) -> Answer {
         if r.epoch.term() > self.term {
             return Answer::Superseded(r.epoch.term());
         }
         if beat {
             self.last_beat = Some(now);
         }
+        let beat = beat && renews;
         if self.tombstones.contains(&r.host) {
             return Answer::Ignore;
         }
@@ -432,7 +450,8 @@
                         wind_down,
                     });
                 }
-            } else if !known && !over && !leaving {
+            } else if !known && !over && !leaving && self.confirmed {
+                // Without the state service the job may have been withdrawn unheard.
                 a.launch_epoch = a.launch_epoch.max(epoch);
                 a.tenure = Some(tenure);
                 a.given.get_or_insert(now);
@@ -465,7 +484,7 @@
                     }
                     None
                 }
-                Answer::Ignore => None,
+                Answer::Ignore | Answer::Withheld => None,
             },
             _ => None,
         }
--- /dev/null
+++ b/src/core/watermark.rs
@@ -0,0 +1,151 @@
+//! The watermark of withdrawals: the time up to which this leader surely knows all that were confirmed.
+//!
+//! A withdrawal is confirmed by whichever node wrote or read its verdict; from then on its tasks have
+//! `cancel_s`. A leader that answers a report renews the worker's lease, and with it every task there,
+//! those included of whose withdrawal it has not heard. So it answers only while a lease renewed now
+//! ends within `cancel_s` of the watermark; past that the leases run out by themselves.
+//!
+//! Two kinds of evidence move the watermark. A read of the state service shows all that was confirmed
+//! before it was asked for. And what every other node says of itself: all that it confirmed before it was
+//! asked. A node back in a new life cannot speak for its earlier one, so its word counts only once the
+//! watermark has passed the moment when the new life was first heard. All times are the leader's own,
+//! of when it asked, so that no two clocks are compared.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant, SystemTime};
+
+/// Clocks drift by 0.05%; this is four times as much, as for leases.
+const DRIFT: f64 = 0.002;
+/// For the time of day's error, and what passes between a look at the clocks and the answer.
+const MARGIN: Duration = Duration::from_secs(2);
+/// Even an undisturbed watch of the state service answers only so often. Where `cancel_s` leaves less
+/// than this beyond `lease_s`, leases alone cannot keep the rule (`--check` says so).
+pub const LEAST_PATIENCE: Duration = Duration::from_secs(6);
+
+/// How old the watermark may be for a report to be answered, and whether that keeps every withdrawn
+/// task's end within `cancel`.
+pub fn patience(lease: Duration, cancel: Duration) -> (Duration, bool) {
+    let spent = lease.mul_f64(1.0 + DRIFT) + MARGIN;
+    let left = cancel.mul_f64(1.0 - DRIFT).saturating_sub(spent);
+    (left.max(LEAST_PATIENCE), left >= LEAST_PATIENCE)
+}
+
+/// A point in time by both clocks. The steady one may stand still with the process.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Moment {
+    pub steady: Instant,
+    pub day: SystemTime,
+}
+
+impl Moment {
+    pub fn now() -> Moment {
+        Moment {
+            steady: Instant::now(),
+            day: SystemTime::now(),
+        }
+    }
+
+    /// This moment shifted to another reading of the steady clock.
+    pub fn at(self, steady: Instant) -> Moment {
+        let day = match steady.checked_duration_since(self.steady) {
+            Some(later) => self.day + later,
+            None => self.day - self.steady.duration_since(steady),
+        };
+        Moment { steady, day }
+    }
+
+    /// How long ago, by the clock that says more.
+    fn age(self, now: Moment) -> Duration {
+        let steady = now.steady.saturating_duration_since(self.steady);
+        steady.max(now.day.duration_since(self.day).unwrap_or_default())
+    }
+}
+
+/// One node's word on what it confirmed.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Word {
+    /// When it was asked, and when its answer came.
+    pub asked: Moment,
+    pub came: Moment,
+    /// It goes on from its word before, with nothing left out between.
+    pub continues: bool,
+}
+
+/// What one node's words cover.
+#[derive(Clone, Copy, Debug)]
+struct Covered {
+    since: Moment,
+    until: Moment,
+}
+
+#[derive(Clone, Debug)]
+pub struct Watermark {
+    at: Moment,
+    peers: BTreeMap<String, Option<Covered>>,
+}
+
+impl Watermark {
+    /// From a read of all withdrawals that was asked for at this time, with the nodes that may
+    /// confirm others.
+    pub fn new(read: Moment, peers: impl IntoIterator<Item = String>) -> Watermark {
+        Watermark {
+            at: read,
+            peers: peers.into_iter().map(|p| (p, None)).collect(),
+        }
+    }
+
+    /// All that the state service held when it was asked is known now.
+    pub fn read(&mut self, asked: Moment) {
+        self.raise(asked);
+        self.advance();
+    }
+
+    /// A node told all that it confirmed since its word before.
+    pub fn told(&mut self, peer: &str, word: Word) {
+        let Some(covered) = self.peers.get_mut(peer) else {
+            return;
+        };
+        *covered = match *covered {
+            Some(c) if word.continues => Some(Covered {
+                since: c.since,
+                until: word.asked,
+            }),
+            // The first word, or another life's: what went before it only the state service shows.
+            _ => Some(Covered {
+                since: word.came,
+                until: word.came,
+            }),
+        };
+        self.advance();
+    }
+
+    fn advance(&mut self) {
+        let at = self.at.steady;
+        let covered = |c: &Option<Covered>| c.filter(|c| c.since.steady <= at).map(|c| c.until);
+        let all: Option<Vec<Moment>> = self.peers.values().map(covered).collect();
+        let least = all.and_then(|a| a.into_iter().min_by_key(|m| m.steady));
+        if let Some(least) = least {
+            self.raise(least);
+        }
+    }
+
+    fn raise(&mut self, to: Moment) {
+        if to.steady > self.at.steady {
+            self.at = to;
+        }
+    }
+
+    /// How old the watermark is. A node without others confirms everything itself.
+    pub fn age(&self, now: Moment) -> Duration {
+        if self.peers.is_empty() {
+            Duration::ZERO
+        } else {
+            self.at.age(now)
+        }
+    }
+
+    /// Whether a lease renewed now surely ends in time for all withdrawals that are not known.
+    pub fn renews(&self, now: Moment, patience: Duration) -> bool {
+        self.age(now) < patience
+    }
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -47,6 +47,9 @@
         }
     };
     if arguments.check {
+        for warning in settings.warnings() {
+            eprintln!("cypressgap: warning: {warning}");
+        }
         println!("settings are valid: member {}", settings.member);
         return ExitCode::SUCCESS;
     }
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -437,7 +437,13 @@
         // The stamp is 0 while the job is live: its verdict's key is absent.
         let stamp = match verdict(shared, &uid)? {
             Some((Verdict::Live, stamp)) => stamp,
-            Some((v, _)) => return Ok(((200, state(shared, &uid, v, false)), None)),
+            Some((v, _)) => {
+                // Its first confirmation may have been lost, with the node that was to give it.
+                if v == Verdict::Withdrawn {
+                    shared.tell_leader(&uid);
+                }
+                return Ok(((200, state(shared, &uid, v, false)), None));
+            }
             None => return Ok((problem(404, "no such job"), None)),
         };
         let (job, mark) = (job_key(&uid), withdrawn_key(&uid));
@@ -461,6 +467,7 @@
             Ok(Txn::Applied { .. }) => {
                 shared.view.remember_final(&uid, Verdict::Withdrawn);
                 log::info!("withdrawn job={uid}");
+                shared.tell_leader(&uid);
                 let body = state(shared, &uid, Verdict::Withdrawn, false);
                 return Ok(((200, body), None));
             }
--- a/src/net/peer.rs
+++ b/src/net/peer.rs
@@ -51,6 +51,33 @@
         path: String,
         body: Vec<u8>,
     },
+    // From here on only for peers that said they know these frames: see `FRAMES`.
+    /// The withdrawals that the peer knows of, from a position in its life on.
+    Withdrawals {
+        from: Option<(u64, u64)>,
+    },
+    /// To the leader: users are about to be told that these jobs are withdrawn.
+    Withdrawn(Vec<String>),
+}
+
+/// The frames that this version knows. `borsh` has no names, so the layouts of frames that an earlier
+/// version reads stay as they are, and newer frames go only to peers that understand them. They say so
+/// in the answer to a hello, in the list of jobs that are over: only the leader's own hellos carry jobs
+/// there, and earlier versions send and heed none in answers.
+pub const FRAMES: u32 = 2;
+const FRAMES_WORD: &str = "frames ";
+/// From this version on peers know withdrawals' frames.
+pub const FRAMES_WITHDRAWALS: u32 = 2;
+
+/// What the answer to a hello says of the frames that its sender knows.
+pub fn frames_said() -> Vec<String> {
+    vec![format!("{FRAMES_WORD}{FRAMES}")]
+}
+
+/// 1 is the version that says nothing.
+pub fn frames_heard(over: &[String]) -> u32 {
+    let said = over.iter().find_map(|o| o.strip_prefix(FRAMES_WORD));
+    said.and_then(|n| n.parse().ok()).unwrap_or(1)
 }
 
 /// What a peer found out about a job.
@@ -74,6 +101,17 @@
     Words(Vec<Word>),
     /// Status, body, and when to come back.
     User(u16, Vec<u8>, Option<u64>),
+    /// Its life; whether this goes on from where it was asked for; the jobs; where to go on; whether
+    /// there are more already.
+    Withdrawals {
+        life: u64,
+        continues: bool,
+        uids: Vec<String>,
+        next: u64,
+        more: bool,
+    },
+    /// Whether a leader took the withdrawals on.
+    Withdrawn(bool),
 }
 
 pub fn write_frame<T: BorshSerialize>(w: &mut impl Write, message: &T) -> io::Result<()> {
@@ -104,6 +142,8 @@
     /// Commands in a row that it could not deliver, and until when it gets no more.
     failures: AtomicU32,
     rests_until: Mutex<Option<Instant>>,
+    /// The frames that it knows, as it said last.
+    frames: AtomicU32,
 }
 
 /// A peer that delivers nothing may itself be cut off from the workers.
@@ -118,9 +158,19 @@
             idle: Mutex::new(Vec::new()),
             failures: AtomicU32::new(0),
             rests_until: Mutex::new(None),
+            frames: AtomicU32::new(1),
         }
     }
 
+    /// Whether it said that it knows the frames of this version.
+    pub fn knows(&self, frames: u32) -> bool {
+        self.frames.load(Ordering::Relaxed) >= frames
+    }
+
+    pub fn said_frames(&self, frames: u32) {
+        self.frames.store(frames, Ordering::Relaxed);
+    }
+
     /// Whether commands to workers may go through this peer.
     pub fn delivers(&self, now: Instant) -> bool {
         self.rests_until
--- a/src/runtime/duties.rs
+++ b/src/runtime/duties.rs
@@ -8,6 +8,7 @@
 use crate::core::cluster::{Action, Answer, Cluster};
 use crate::core::ledger::{self, Batch, BatchOutcome, Verdict};
 use crate::core::model::*;
+use crate::core::watermark::{self, Moment, Word};
 use crate::net::store::{StoreError, Txn};
 use crate::net::wire::{RentRequest, StoredJob, StoredVerdict};
 use crossbeam::channel::{Receiver, Sender};
@@ -30,6 +31,10 @@
     Returned(Term, Vec<HostId>, bool),
     Listed(Term, Vec<Listed>),
     Types(Vec<HostType>),
+    /// All withdrawals that the state service held when it was asked have gone before this.
+    Read(Term, Moment),
+    /// Jobs that a peer knows to be withdrawn, and what that covers; from users, it covers nothing.
+    Told(Term, Vec<Uid>, Option<(String, Word)>),
 }
 
 pub enum BeatReply {
@@ -67,6 +72,9 @@
 /// Between two ticks.
 const TICK: Duration = Duration::from_millis(150);
 
+/// How long the watch of the queue waits for a change, at most.
+const WATCH_BLOCK: Duration = Duration::from_secs(5);
+
 /// How often the state service's changes are shared out anew.
 const SHARE_EVERY: Duration = Duration::from_millis(500);
 
@@ -88,6 +96,9 @@
         let left = next_tick.saturating_duration_since(Instant::now());
         let event = events.recv_timeout(left).ok();
         let now = Instant::now();
+        if let Some(c) = cluster.as_mut() {
+            c.clocks(Moment::now());
+        }
         let woke = shared.woke();
         if woke != last_woke {
             last_woke = woke;
@@ -184,7 +195,7 @@
             let answers = reports.into_iter().map(|report| {
                 match c.on_report(now, report, true) {
                     Answer::Accept { epoch, directives } => BeatReply::Accept(epoch, directives),
-                    Answer::Ignore => BeatReply::NotLeader,
+                    Answer::Ignore | Answer::Withheld => BeatReply::NotLeader,
                     Answer::Superseded(t) => {
                         // Never waits: the elector may be waiting for this loop. It will be seen
                         // again.
@@ -197,6 +208,15 @@
         }
         Event::Job(t, spec, stamp) if t == term => c.on_job(*spec, stamp),
         Event::Withdrawn(t, uid) if t == term => c.on_withdrawn(now, &uid),
+        Event::Read(t, asked) if t == term => c.withdrawals_read(asked),
+        Event::Told(t, uids, covers) if t == term => {
+            for uid in &uids {
+                c.on_withdrawn(now, uid);
+            }
+            if let Some((peer, word)) = covers {
+                c.withdrawals_told(&peer, word);
+            }
+        }
         Event::Written(t, outcome) if t == term => {
             let superseded = c.on_batch(now, outcome);
             if superseded {
@@ -349,8 +369,12 @@
 
 /// Follows the queue: accepted jobs and withdrawals, whichever node took them.
 pub fn feed(shared: &Shared, term: Term, mut revision: u64, stop: &Stop) {
+    // Each answer moves the watermark of withdrawals to when it was asked for.
+    let params = &shared.settings.params;
+    let (patience, _) = watermark::patience(params.lease, params.cancel);
+    let block = WATCH_BLOCK.min(patience / 3);
     while !stop.stopped() {
-        let block = Duration::from_secs(5);
+        let asked = Moment::now();
         match shared
             .store
             .follow::<Queued>(ledger::QUEUE_PREFIX, revision, block)
@@ -362,6 +386,7 @@
                         take_queued(shared, term, &key, c.value, c.stamp.unwrap_or(0));
                     }
                 }
+                let _ = shared.events.send(Event::Read(term, asked));
             }
             Err(StoreError::TooOld) => {
                 let limit = Duration::from_secs(4);
@@ -374,6 +399,7 @@
                             take_queued(shared, term, &p.path, Some(p.value), p.stamp);
                         }
                         revision = r;
+                        let _ = shared.events.send(Event::Read(term, asked));
                     }
                     Err(_) => {
                         stop.wait(Duration::from_millis(500));
--- a/src/runtime/elector.rs
+++ b/src/runtime/elector.rs
@@ -10,6 +10,7 @@
 use crate::core::leadership::{LeaderRecord, Leadership, Role, Step};
 use crate::core::ledger::{self, Verdict, CONTROL_PREFIX, LEADER_KEY, TERM_KEY, TYPES_KEY};
 use crate::core::model::{Term, Uid};
+use crate::core::watermark::Moment;
 use crate::net::questions;
 use crate::net::store::{Asked, Change, Content, Pair, StoreError, Txn};
 use crate::net::wire::{StoredChunk, StoredHistory, StoredJob, StoredLeader, WireTypes};
@@ -376,6 +377,7 @@
 ) -> Result<(Cluster, u64), StoreError> {
     let limit = Duration::from_secs(4);
     let rank = Rank::Leader;
+    let began = Moment::now();
     let store = &shared.store;
     let (live, revision) = read_all::<StoredJob>(shared, ledger::LIVE_PREFIX, stop)?;
     let (withdrawn, _) = read_all::<IgnoredAny>(shared, ledger::WITHDRAWN_PREFIX, stop)?;
@@ -388,6 +390,8 @@
     let types = shared.view.read().types.clone();
     let params = shared.settings.params.clone();
     let mut c = Cluster::new(params, term, stamp, types, now, now_ms);
+    let peers = shared.peers.iter().map(|p| p.member.clone());
+    c.confirmed_by(peers, began);
     if let Some(h) = history {
         c.history.load(&Summary::from(h.value));
     }
--- a/src/runtime/peering.rs
+++ b/src/runtime/peering.rs
@@ -6,6 +6,7 @@
 use super::service::{Shared, AWAITED_RELAYED};
 use super::view::{PeerWord, RoleView};
 use crate::core::model::*;
+use crate::core::watermark::{Moment, Word};
 use crate::net::agent;
 use crate::net::front;
 use crate::net::peer::{self, Ask, Hello, Peer, Reply};
@@ -117,6 +118,7 @@
 /// Tells one peer each second who we are, and as leader how the jobs stand.
 pub fn announce(shared: &Shared, peer: &Peer) {
     let mut told: HashMap<Uid, (u32, u32)> = HashMap::new();
+    let mut reader = Reader::default();
     while !shared.stop.wait(Duration::from_millis(1000)) {
         let mut progress = Vec::new();
         let mut over = Vec::new();
@@ -139,6 +141,7 @@
         match peer.ask(&ask, Duration::from_millis(1500)) {
             Ok(Reply::Hello(h)) => {
                 heard_hello(shared, &h);
+                peer.said_frames(peer::frames_heard(&h.over));
                 for (uid, d, r) in progress {
                     told.insert(Uid(uid), (d, r));
                 }
@@ -152,6 +155,60 @@
                 told.clear();
             }
         }
+        reader.read(shared, peer);
+    }
+}
+
+/// Reads what a peer knows to be withdrawn, for a leader that may not hear of it from the state service.
+#[derive(Default)]
+struct Reader {
+    term: Option<Term>,
+    /// The peer's life, and the position in it to go on from.
+    from: Option<(u64, u64)>,
+}
+
+impl Reader {
+    fn read(&mut self, shared: &Shared, peer: &Peer) {
+        let term = {
+            let i = shared.view.read();
+            i.loaded.filter(|t| i.role == RoleView::Leader(*t))
+        };
+        if term != self.term {
+            // No word counts across a term.
+            (self.term, self.from) = (term, None);
+        }
+        let Some(term) = term.filter(|_| peer.knows(peer::FRAMES_WITHDRAWALS)) else {
+            return;
+        };
+        let mut more = true;
+        while more && !shared.stop.stopped() {
+            let asked = Moment::now();
+            let ask = Ask::Withdrawals { from: self.from };
+            let Ok(Reply::Withdrawals {
+                life,
+                continues,
+                uids,
+                next,
+                more: rest,
+            }) = peer.ask(&ask, Duration::from_millis(1500))
+            else {
+                return;
+            };
+            let came = Moment::now();
+            self.from = Some((life, next));
+            more = rest;
+            let word = Word {
+                asked,
+                came,
+                continues,
+            };
+            let uids = uids.iter().filter_map(|u| Uid::parse(u)).collect();
+            // What is told in parts covers nothing before the last of them.
+            let covers = (!more || !continues).then(|| (peer.member.clone(), word));
+            if shared.events.send(Event::Told(term, uids, covers)).is_err() {
+                return;
+            }
+        }
     }
 }
 
@@ -199,7 +256,7 @@
                         i.progress.remove(&Uid(uid));
                     }
                 }
-                Reply::Hello(hello(shared, Vec::new(), Vec::new()))
+                Reply::Hello(hello(shared, Vec::new(), peer::frames_said()))
             }
             Ask::Beats(bodies) => {
                 let until = Instant::now() + AWAITED_RELAYED;
@@ -209,6 +266,20 @@
                 Reply::Command(agent::deliver(&shared.agent, &endpoint, &body))
             }
             Ask::Questions(names) => Reply::Words(questions::for_peer(shared, &names)),
+            Ask::Withdrawals { from } => {
+                let page = shared.view.withdrawals(from);
+                Reply::Withdrawals {
+                    life: page.life,
+                    continues: page.continues,
+                    uids: page.uids.into_iter().map(|u| u.0).collect(),
+                    next: page.next,
+                    more: page.more,
+                }
+            }
+            Ask::Withdrawn(names) => {
+                let uids: Vec<Uid> = names.iter().filter_map(|n| Uid::parse(n)).collect();
+                Reply::Withdrawn(shared.take_on_withdrawals(uids))
+            }
             Ask::User { method, path, body } => {
                 let ((status, body), retry) = front::for_peer(shared, &method, &path, &body);
                 Reply::User(status, body, retry)
--- a/src/runtime/service.rs
+++ b/src/runtime/service.rs
@@ -10,13 +10,13 @@
 use super::stop::Stop;
 use super::view::{RoleView, View};
 use super::workers::Workers;
-use crate::core::model::Term;
+use crate::core::model::{Term, Uid};
 use crate::net::agent;
 use crate::net::cloud::Cloud;
 use crate::net::front::{self, problem};
 use crate::net::http::Client;
 use crate::net::listen;
-use crate::net::peer::{Ask, Peer, Reply};
+use crate::net::peer::{self, Ask, Peer, Reply};
 use crate::net::questions;
 use crate::net::store::{Budgets, Store};
 use crate::net::wire::{self, BeatAnswer, Elsewhere, WireDirective, WireReport};
@@ -40,6 +40,8 @@
 
 /// How long a frame of reports may take to the leader and back: a worker waits 4 s.
 const RELAY_LIMIT: Duration = Duration::from_millis(2500);
+/// How long a withdrawal's confirmation waits for the leader's acknowledgement.
+const TELL_LIMIT: Duration = Duration::from_millis(500);
 /// How long reports wait for a leader from when they came, or from when a peer passed them on, and how
 /// often that is looked at. With the relay they are answered within the worker's 4 s.
 pub const AWAITED: Duration = Duration::from_millis(2000);
@@ -119,6 +121,45 @@
         self.store.budgets().share_out(&peers, now);
     }
 
+    /// Jobs that a user is about to be told are withdrawn. Whether this node leads and heeds it.
+    pub fn take_on_withdrawals(&self, uids: Vec<Uid>) -> bool {
+        let term = {
+            let i = self.view.read();
+            i.loaded.filter(|t| i.role == RoleView::Leader(*t))
+        };
+        let Some(term) = term else {
+            return false;
+        };
+        let event = Event::Told(term, uids, None);
+        self.events.send_timeout(event, TELL_LIMIT / 2).is_ok()
+    }
+
+    /// Tells the acting leader, where it can be reached, before a user hears that a job is withdrawn:
+    /// it may have lost the state service, and would start or keep the job's tasks. If it cannot be
+    /// told, it reads it from us later, or answers no more reports (`core/watermark`).
+    pub fn tell_leader(&self, uid: &Uid) {
+        let leader = match &self.view.read().role {
+            RoleView::Leader(_) => None,
+            RoleView::Follower(Some(l)) => Some(l.clone()),
+            RoleView::Follower(None) => return,
+        };
+        let Some(leader) = leader else {
+            self.take_on_withdrawals(vec![uid.clone()]);
+            return;
+        };
+        let live = self.view.live_peers(Instant::now());
+        let knows = |p: &&Arc<Peer>| {
+            p.member == leader
+                && p.knows(peer::FRAMES_WITHDRAWALS)
+                && live.iter().any(|(m, _)| *m == leader)
+        };
+        if let Some(p) = self.peers.iter().find(knows) {
+            if let Err(e) = p.ask(&Ask::Withdrawn(vec![uid.0.clone()]), TELL_LIMIT) {
+                log::debug!("the leader was not told of a withdrawal job={uid} why=\"{e}\"");
+            }
+        }
+    }
+
     /// Waits until reports can be answered, by this node or by a leader that it knows, and no longer
     /// than until then. Workers that are refused come back a second later: with all of them doing so
     /// after the end of a leader, the nodes did nothing but refuse, and the next leader never came to
--- a/src/runtime/view.rs
+++ b/src/runtime/view.rs
@@ -13,6 +13,8 @@
 const FINALS_KEPT: usize = 20_000;
 /// Jobs known to have been accepted and not known to be over. Without one, a question costs more.
 const ACCEPTED_KEPT: usize = 100_000;
+/// Withdrawals told at a time.
+const PAGE: usize = 5_000;
 /// The state service counts as lost to this node after failing for this long.
 const STORE_LOST: Duration = Duration::from_secs(2);
 /// What a peer said last counts for this long.
@@ -40,9 +42,32 @@
     /// them may stand still with the process.
     leads_until: Option<(Instant, SystemTime)>,
     peers: HashMap<String, PeerWord>,
+    withdrawals: Withdrawals,
     pub live_jobs: usize,
 }
 
+/// Withdrawals that this life of the node knows of and may confirm, in the order in which it learned
+/// of them. The leader reads it, by position.
+struct Withdrawals {
+    life: u64,
+    /// The position of the oldest that is kept.
+    first: u64,
+    kept: VecDeque<Uid>,
+}
+
+/// A part of a node's withdrawals.
+#[derive(Clone, Debug, PartialEq)]
+pub struct WithdrawalsPage {
+    pub life: u64,
+    /// It goes on from the position asked for, with nothing left out.
+    pub continues: bool,
+    pub uids: Vec<Uid>,
+    /// The position to go on from.
+    pub next: u64,
+    /// There are more already.
+    pub more: bool,
+}
+
 /// What a peer said of itself last.
 #[derive(Clone, Copy, Debug)]
 pub struct PeerWord {
@@ -93,6 +118,11 @@
                 store_failing: Some(now),
                 leads_until: None,
                 peers: HashMap::new(),
+                withdrawals: Withdrawals {
+                    life: rand::random(),
+                    first: 0,
+                    kept: VecDeque::new(),
+                },
                 live_jobs: 0,
             }),
         }
@@ -151,6 +181,15 @@
         let mut i = self.write();
         i.accepted.remove(uid);
         if i.finals.insert(uid.clone(), v).is_none() {
+            // Before anybody can read the verdict here, and so confirm it.
+            if v == Verdict::Withdrawn {
+                let w = &mut i.withdrawals;
+                w.kept.push_back(uid.clone());
+                if w.kept.len() > FINALS_KEPT {
+                    w.kept.pop_front();
+                    w.first += 1;
+                }
+            }
             i.final_order.push_back(uid.clone());
             if i.final_order.len() > FINALS_KEPT {
                 if let Some(old) = i.final_order.pop_front() {
@@ -161,6 +200,26 @@
         i.progress.remove(uid);
     }
 
+    /// The withdrawals known here from a position in this life on. Asked without one, or with one that
+    /// is not kept any more, it tells where a reader may begin.
+    pub fn withdrawals(&self, from: Option<(u64, u64)>) -> WithdrawalsPage {
+        let i = self.read();
+        let w = &i.withdrawals;
+        let end = w.first + w.kept.len() as u64;
+        let from = from.filter(|(life, at)| *life == w.life && (w.first..=end).contains(at));
+        let at = from.map_or(end, |f| f.1);
+        let skipped = (at - w.first) as usize;
+        let uids: Vec<Uid> = w.kept.iter().skip(skipped).take(PAGE).cloned().collect();
+        let next = at + uids.len() as u64;
+        WithdrawalsPage {
+            life: w.life,
+            continues: from.is_some(),
+            uids,
+            next,
+            more: next < end,
+        }
+    }
+
     pub fn store_answered(&self, ok: bool, now: Instant) {
         let failing = self.read().store_failing;
         match (ok, failing) {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -4,6 +4,7 @@
 //! operators' file, everything unknown is refused, with its name and line.
 
 use crate::core::model::{Objective, Params, Site, Team, TeamName, Tuning};
+use crate::core::watermark;
 use serde::Deserialize;
 use std::net::SocketAddr;
 use std::path::Path;
@@ -372,6 +373,21 @@
         })
     }
 
+    /// What can be run with, but not without loss.
+    pub fn warnings(&self) -> Vec<String> {
+        let mut out = Vec::new();
+        let p = &self.params;
+        if !watermark::patience(p.lease, p.cancel).1 {
+            out.push(format!(
+                "deployment.workers.cancel_s: {:.1} is so close to lease_s, {:.1}, that the tasks of a \
+                 cancelled job may outlast it where their leader has lost the state service and its peers",
+                p.cancel.as_secs_f64(),
+                p.lease.as_secs_f64()
+            ));
+        }
+        out
+    }
+
     /// Reads the operators' file over the built-in values.
     pub fn load_operators(&mut self, path: &Path) -> Result<(), SettingsError> {
         let text = read(path)?;
--- a/tests/end_to_end.rs
+++ b/tests/end_to_end.rs
@@ -65,6 +65,10 @@
     }
 
     fn start(&self, n: usize) -> Service {
+        self.start_with(n, |_| {})
+    }
+
+    fn start_with(&self, n: usize, edit: impl Fn(&mut Settings)) -> Service {
         let text = include_str!("../examples/node.toml");
         let mut s = Settings::parse("node.toml", text).expect("the example");
         s.member = self.names[n].0.clone();
@@ -80,6 +84,7 @@
             seed.address = self.to_peer[m].address;
             s.seeds.push(seed.clone());
         }
+        edit(&mut s);
         Service::start(s).expect("a node starts")
     }
 }
@@ -452,3 +457,101 @@
     assert_eq!(worker.starts().len(), 2);
     node.stop();
 }
+
+/// The gap between two troubles: the state service refuses the leader alone, another node confirms a
+/// cancellation, and then it is out for everybody for longer than `cancel_s`, while the workers go on
+/// reporting to the old leader. The tasks are gone within `cancel_s` all the same, and a plain outage
+/// costs nothing.
+#[test]
+fn cancelled_tasks_go_in_time_though_their_leader_hears_nothing_of_the_state_service() {
+    // Whether the leader alone is refused first, whether it loses its peers as well, and whether the
+    // confirming node ends right after it has confirmed -> whether other tasks outlive the outage.
+    let cases = [
+        ("a plain outage", false, false, false, true),
+        ("a peer tells it", true, false, false, true),
+        ("nobody tells it", true, true, false, false),
+        ("the confirming node ends", true, true, true, false),
+    ];
+    std::thread::scope(|s| {
+        for case in cases {
+            s.spawn(move || withdrawn_unheard(case));
+        }
+    });
+}
+
+fn withdrawn_unheard((name, alone, cut_off, ends, others): (&str, bool, bool, bool, bool)) {
+    let (lease, cancel) = (Duration::from_secs(3), Duration::from_secs(14));
+    let site = Site::new(2);
+    let edit = |s: &mut Settings| {
+        (s.params.lease, s.params.cancel) = (lease, cancel);
+        // Nobody takes over between the two troubles.
+        s.operations.leader_lease = Duration::from_secs(30);
+    };
+    let mut nodes = [0, 1].map(|n| Some(site.start_with(n, edit)));
+    let worker = Worker::start("i-1", Duration::from_secs(600), site.names.clone());
+    submit(site.names[0].1, "wk-000001", 1);
+    submit(site.names[1].1, "wk-000002", 1);
+    until("started", || (worker.running() == 2).then_some(()));
+    worker.leased(lease);
+    let leading = |n: &Option<Service>| n.as_ref().is_some_and(|n| leads(n).is_some());
+    let old = nodes.iter().position(leading).expect("one leads");
+    // The peers have come to know each other's frames, and words go on from words.
+    until("a watermark that peers keep", || {
+        let known = |n: &Service| n.shared.peers.iter().all(|p| p.knows(2));
+        nodes.iter().flatten().all(known).then_some(())
+    });
+    std::thread::sleep(Duration::from_secs(7));
+    if alone {
+        site.to_state[old].cut(true);
+    }
+    if cut_off {
+        site.to_peer[0].cut(true);
+        site.to_peer[1].cut(true);
+    }
+    let path = "/api/jobs/wk-000001/withdraw";
+    let confirmer = site.names[1 - old].1;
+    until("confirmed", || {
+        (call("POST", confirmer, path, None).0 == 200).then_some(())
+    });
+    let confirmed = Instant::now();
+    site.state.out.store(true, Ordering::SeqCst);
+    if ends {
+        if let Some(n) = nodes[1 - old].take() {
+            n.stop();
+        }
+    }
+    let left = if others { 1 } else { 0 };
+    until("gone", || (worker.running() <= left).then_some(()));
+    assert!(
+        confirmed.elapsed() < cancel,
+        "{name}: gone only after {:?}",
+        confirmed.elapsed()
+    );
+    // Well past the time for which a lease may go on unheard.
+    while confirmed.elapsed() < cancel + lease {
+        std::thread::sleep(Duration::from_millis(100));
+        assert!(worker.running() <= left, "{name}: started again");
+    }
+    assert_eq!(worker.running(), left, "{name}");
+    assert_eq!(worker.sessions_ended() > 0, !others, "{name}");
+    // The state service is back: the other job runs, this one is withdrawn and starts no more.
+    site.state.out.store(false, Ordering::SeqCst);
+    let links = site.to_state.iter().chain(&site.to_peer);
+    links.for_each(|l| l.cut(false));
+    if !ends {
+        until("told", || {
+            (phase(confirmer, "wk-000001")? == "withdrawn").then_some(())
+        });
+    }
+    // Its machine may have been given back, with the withdrawn task on it: there is another.
+    let fresh = Worker::start("i-2", Duration::from_secs(600), site.names.clone());
+    until("the other job runs", || {
+        (worker.running() + fresh.running() == 1).then_some(())
+    });
+    let starts = [worker.starts(), fresh.starts()].concat();
+    let first = starts.iter().filter(|s| s.0 == "wk-000001/0").count();
+    assert_eq!(first, 1, "{name}");
+    for n in nodes.into_iter().flatten() {
+        n.stop();
+    }
+}
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -48,6 +48,22 @@
     }
 }
 
+/// What leases alone cannot keep is said, and run with all the same.
+#[test]
+fn a_cancellation_limit_close_to_the_lease_is_warned_of() {
+    for (cancel, warned) in [
+        ("50.0", false),
+        ("39.0", false),
+        ("37.0", true),
+        ("10.0", true),
+    ] {
+        let text = NODE.replace("cancel_s = 50.0", &format!("cancel_s = {cancel}"));
+        let warnings = Settings::parse("node.toml", &text).unwrap().warnings();
+        assert_eq!(!warnings.is_empty(), warned, "{cancel}: {warnings:?}");
+        assert!(warnings.iter().all(|w| w.contains("cancel_s")));
+    }
+}
+
 /// Guards against buffers and pools that together pass the sockets that a process may have.
 #[test]
 fn sockets_are_shared_out_within_the_quota() {
--- a/tests/standins/mod.rs
+++ b/tests/standins/mod.rs
@@ -396,6 +396,9 @@
     tasks: BTreeMap<String, Held>,
     epoch: u64,
     starts: Vec<(String, u64)>,
+    /// Earlier sessions, and when the last answered report was sent.
+    sessions: u64,
+    answered: Option<Instant>,
 }
 
 /// One machine: reports, and runs each task for as long as the test says.
@@ -406,6 +409,8 @@
     endpoint: String,
     name: &'static str,
     run: Duration,
+    /// In milliseconds; 0: it never runs out.
+    lease: Arc<AtomicU64>,
 }
 
 impl Worker {
@@ -418,6 +423,7 @@
             endpoint: String::new(),
             name,
             run,
+            lease: Arc::default(),
         };
         let w = worker.clone();
         let address = serve(move |method, url, body| {
@@ -438,6 +444,12 @@
         self.endpoint.clone()
     }
 
+    /// From now on its tasks end when no answered report was sent for this long.
+    pub fn leased(&self, lease: Duration) {
+        self.machine.lock().expect("the machine").answered = Some(Instant::now());
+        self.lease.store(lease.as_millis() as u64, Ordering::SeqCst);
+    }
+
     /// Tasks started so far, with their attempts.
     pub fn starts(&self) -> Vec<(String, u64)> {
         self.machine.lock().expect("the machine").starts.clone()
@@ -445,12 +457,29 @@
 
     /// Tasks on the machine that have not ended.
     pub fn running(&self) -> usize {
-        let m = self.machine.lock().expect("the machine");
+        let mut m = self.machine.lock().expect("the machine");
+        self.expire(&mut m);
         m.tasks.values().filter(|h| h.why.is_none()).count()
     }
 
+    /// Sessions that ended because the lease ran out.
+    pub fn sessions_ended(&self) -> u64 {
+        self.machine.lock().expect("the machine").sessions
+    }
+
+    fn expire(&self, m: &mut Machine) {
+        let lease = Duration::from_millis(self.lease.load(Ordering::SeqCst));
+        let spent = |t: Instant| !lease.is_zero() && t.elapsed() > lease;
+        if m.answered.is_some_and(spent) {
+            m.tasks.clear();
+            m.sessions += 1;
+            m.answered = Some(Instant::now());
+        }
+    }
+
     fn take(&self, body: &Any) -> bool {
         let mut m = self.machine.lock().expect("the machine");
+        self.expire(&mut m);
         if body.int("Epoch") < m.epoch {
             return false;
         }
@@ -483,6 +512,7 @@
 
     fn report(&self) -> Any {
         let mut m = self.machine.lock().expect("the machine");
+        self.expire(&mut m);
         for h in m.tasks.values_mut() {
             if h.why.is_none() && h.started.elapsed() >= self.run {
                 h.why = Some("done");
@@ -510,7 +540,7 @@
             ("HostType", t("m8")),
             ("Site", t("hall-a")),
             ("Preemptible", Any::Bool(false)),
-            ("Tenure", Any::Int(1)),
+            ("Tenure", Any::Int(1 + m.sessions)),
             (
                 "Serial",
                 Any::Int(self.serial.fetch_add(1, Ordering::SeqCst)),
@@ -523,10 +553,16 @@
     fn beats(&self, nodes: &[(String, SocketAddr)]) {
         let mut at = 0;
         loop {
-            let (status, body) = call("POST", nodes[at].1, "/agent/beat", Some(&self.report()));
+            let (sent, report) = (Instant::now(), self.report());
+            let (status, body) = call("POST", nodes[at].1, "/agent/beat", Some(&report));
             match status {
                 200 => {
-                    self.take(&body);
+                    // The answer to a report of an earlier session is dropped.
+                    let session = Any::Int(1 + self.sessions_ended());
+                    if report.get("Tenure") == Some(&session) && self.take(&body) {
+                        let mut m = self.machine.lock().expect("the machine");
+                        m.answered = Some(sent);
+                    }
                 }
                 421 => {
                     let named = body.text("Controller");
--- /dev/null
+++ b/tests/versions.rs
@@ -0,0 +1,178 @@
+//! Versions side by side: what the one in production reads and writes, by its layout.
+//!
+//! The samples are written by hand from the layout of the version that `production` in
+//! `deploy/service.toml` names, not with this version's types.
+
+use cypressgap::net::peer::{frames_heard, frames_said, read_frame, Ask, Hello, Reply, Word};
+
+/// Bytes of a `borsh` frame, put together field by field.
+#[derive(Clone, Default)]
+struct Bytes(Vec<u8>);
+
+impl Bytes {
+    fn variant(n: u8) -> Bytes {
+        Bytes(vec![n])
+    }
+    fn u8(mut self, n: u8) -> Bytes {
+        self.0.push(n);
+        self
+    }
+    fn u16(mut self, n: u16) -> Bytes {
+        self.0.extend(n.to_le_bytes());
+        self
+    }
+    fn u32(mut self, n: u32) -> Bytes {
+        self.0.extend(n.to_le_bytes());
+        self
+    }
+    fn u64(mut self, n: u64) -> Bytes {
+        self.0.extend(n.to_le_bytes());
+        self
+    }
+    fn f64(mut self, x: f64) -> Bytes {
+        self.0.extend(x.to_le_bytes());
+        self
+    }
+    fn bytes(self, b: &[u8]) -> Bytes {
+        let mut s = self.u32(b.len() as u32);
+        s.0.extend(b);
+        s
+    }
+    fn text(self, t: &str) -> Bytes {
+        self.bytes(t.as_bytes())
+    }
+    fn frame(&self) -> Vec<u8> {
+        let mut out = (self.0.len() as u32).to_le_bytes().to_vec();
+        out.extend(&self.0);
+        out
+    }
+}
+
+fn hello_bytes(variant: u8, over: &[&str]) -> Bytes {
+    let b = Bytes::variant(variant)
+        .text("worker-1")
+        .u8(1)
+        .u64(4)
+        .u64(5)
+        .u8(1)
+        .u32(3)
+        .f64(3.5)
+        .f64(0.25)
+        .u32(12)
+        .u32(1)
+        .text("wk-000001")
+        .u32(1)
+        .u32(2)
+        .u32(over.len() as u32);
+    over.iter().fold(b, |b, o| b.text(o))
+}
+
+fn hello(over: Vec<String>) -> Hello {
+    Hello {
+        member: "worker-1".into(),
+        leads: Some(4),
+        highest: 5,
+        store_ok: true,
+        workers: 3,
+        users_changes: 3.5,
+        leader_changes: 0.25,
+        strain_ms: 12,
+        progress: vec![("wk-000001".into(), 1, 2)],
+        over,
+    }
+}
+
+#[test]
+fn frames_of_the_version_in_production_keep_their_layout() {
+    let asks = [
+        (
+            hello_bytes(0, &["wk-000002"]),
+            Ask::Hello(hello(vec!["wk-000002".into()])),
+        ),
+        (
+            Bytes::variant(1).u32(2).bytes(&[1, 2]).bytes(&[]),
+            Ask::Beats(vec![vec![1, 2], vec![]]),
+        ),
+        (
+            Bytes::variant(2).text("10.1.0.232:9000").bytes(&[7]),
+            Ask::Command {
+                endpoint: "10.1.0.232:9000".into(),
+                body: vec![7],
+            },
+        ),
+        (
+            Bytes::variant(3).u32(1).text("wk-000003"),
+            Ask::Questions(vec!["wk-000003".into()]),
+        ),
+        (
+            Bytes::variant(4)
+                .text("POST")
+                .text("/api/jobs")
+                .bytes(&[9, 9]),
+            Ask::User {
+                method: "POST".into(),
+                path: "/api/jobs".into(),
+                body: vec![9, 9],
+            },
+        ),
+    ];
+    for (old, new) in asks {
+        let frame = old.frame();
+        assert_eq!(read_frame::<Ask>(&mut frame.as_slice()).unwrap(), new);
+        assert_eq!(borsh::to_vec(&new).unwrap(), old.0, "{new:?}");
+    }
+    let replies = [
+        (hello_bytes(0, &[]), Reply::Hello(hello(vec![]))),
+        (
+            Bytes::variant(1).u32(1).u16(200).bytes(&[1]),
+            Reply::Beats(vec![(200, vec![1])]),
+        ),
+        (Bytes::variant(2).u8(0), Reply::Command(None)),
+        (
+            Bytes::variant(2).u8(1).bytes(&[3]),
+            Reply::Command(Some(vec![3])),
+        ),
+        (
+            Bytes::variant(3).u32(5).u8(0).u8(1).u8(2).u8(3).u8(4),
+            Reply::Words(vec![
+                Word::Silence,
+                Word::NeverAccepted,
+                Word::Live,
+                Word::Done,
+                Word::Withdrawn,
+            ]),
+        ),
+        (
+            Bytes::variant(4).u16(503).bytes(&[]).u8(1).u64(3),
+            Reply::User(503, vec![], Some(3)),
+        ),
+    ];
+    for (old, new) in replies {
+        let frame = old.frame();
+        assert_eq!(read_frame::<Reply>(&mut frame.as_slice()).unwrap(), new);
+        assert_eq!(borsh::to_vec(&new).unwrap(), old.0, "{new:?}");
+    }
+}
+
+/// Newer frames go only to peers that said they know them. The version in production says nothing,
+/// and heeds nothing in the list where it is said.
+#[test]
+fn frames_that_a_peer_knows() {
+    let cases: [(&[&str], u32); 5] = [
+        (&[], 1),
+        (&["wk-000001", "wk-000002"], 1),
+        (&["frames 2"], 2),
+        (&["wk-000001", "frames 7"], 7),
+        (&["frames many"], 1),
+    ];
+    for (over, known) in cases {
+        let over: Vec<String> = over.iter().map(|o| o.to_string()).collect();
+        assert_eq!(frames_heard(&over), known, "{over:?}");
+    }
+    let said = frames_said();
+    assert!(frames_heard(&said) >= 2);
+    // The production version reads the answer that says so as it stands.
+    let texts: Vec<&str> = said.iter().map(String::as_str).collect();
+    let new = borsh::to_vec(&Reply::Hello(hello(said.clone()))).unwrap();
+    assert_eq!(new, hello_bytes(0, &texts).0);
+}
--- /dev/null
+++ b/tests/watermark.rs
@@ -0,0 +1,298 @@
+//! Withdrawals that the leader may not have heard of: how long it may keep leases alive.
+
+mod common;
+
+use common::*;
+use cypressgap::core::cluster::{Action, Answer};
+use cypressgap::core::ledger::Verdict;
+use cypressgap::core::model::*;
+use cypressgap::core::watermark::{patience, Moment, Watermark, Word, LEAST_PATIENCE};
+use cypressgap::runtime::view::View;
+use std::time::{Duration, Instant, SystemTime};
+
+#[test]
+fn how_old_the_watermark_may_be() {
+    // lease_s, cancel_s -> the patience in whole seconds, and whether leases alone keep the rule.
+    let cases = [
+        (34.0, 54.0, 17, true),
+        (22.0, 47.0, 22, true),
+        (3.0, 14.0, 8, true),
+        (30.0, 38.5, 6, true),
+        (30.0, 38.0, 6, false),
+        (30.0, 30.0, 6, false),
+        (60.0, 20.0, 6, false),
+    ];
+    for (lease, cancel, whole, keeps) in cases {
+        let (lease, cancel) = (secs_f(lease), secs_f(cancel));
+        let (p, k) = patience(lease, cancel);
+        assert_eq!((p.as_secs(), k), (whole, keeps), "{lease:?} {cancel:?}");
+        assert!(p >= LEAST_PATIENCE);
+        if keeps {
+            // A lease renewed at the last moment ends in time, on clocks that drift.
+            assert!(p + lease.mul_f64(1.001) < cancel.mul_f64(0.999));
+        }
+    }
+}
+
+fn secs_f(s: f64) -> Duration {
+    Duration::from_secs_f64(s)
+}
+
+/// What happens at which second of a term that began with a read at second 0.
+#[derive(Clone, Copy)]
+enum Happens {
+    Read(u64),
+    /// A peer's word: asked, came, and whether it goes on from the one before.
+    Told(&'static str, u64, u64, bool),
+}
+
+#[test]
+fn up_to_when_all_withdrawals_are_known() {
+    use Happens::*;
+    let cases: [(&str, &[&str], &[Happens], u64); 11] = [
+        ("nothing is heard", &["b", "c"], &[], 0),
+        (
+            "reads count from their asking",
+            &["b"],
+            &[Read(5), Read(9)],
+            9,
+        ),
+        (
+            "an older read after a newer one",
+            &["b"],
+            &[Read(9), Read(5)],
+            9,
+        ),
+        (
+            "first words cover nothing before a read",
+            &["b"],
+            &[Told("b", 1, 2, false), Told("b", 8, 8, true)],
+            0,
+        ),
+        (
+            "a read joins the words to what was known",
+            &["b"],
+            &[Told("b", 1, 2, false), Read(3), Told("b", 8, 9, true)],
+            8,
+        ),
+        (
+            "the oldest of all peers' words",
+            &["b", "c"],
+            &[
+                Told("b", 1, 1, false),
+                Told("c", 1, 2, false),
+                Read(3),
+                Told("b", 20, 20, true),
+                Told("c", 11, 11, true),
+            ],
+            11,
+        ),
+        (
+            "a silent peer holds it back",
+            &["b", "c"],
+            &[Told("b", 1, 1, false), Read(3), Told("b", 30, 30, true)],
+            3,
+        ),
+        (
+            "a new life does not speak for the one before",
+            &["b"],
+            &[
+                Told("b", 1, 1, false),
+                Read(3),
+                Told("b", 10, 10, true),
+                Told("b", 14, 15, false),
+                Told("b", 40, 40, true),
+            ],
+            10,
+        ),
+        (
+            "until a read shows what that one confirmed",
+            &["b"],
+            &[
+                Told("b", 1, 1, false),
+                Told("b", 14, 15, false),
+                Read(16),
+                Told("b", 40, 40, true),
+            ],
+            40,
+        ),
+        (
+            "a read asked for before the new life was heard does not",
+            &["b"],
+            &[
+                Told("b", 1, 1, false),
+                Told("b", 14, 16, false),
+                Read(15),
+                Told("b", 40, 40, true),
+            ],
+            15,
+        ),
+        (
+            "strangers count for nothing",
+            &["b"],
+            &[Told("x", 1, 1, false), Read(2), Told("x", 9, 9, true)],
+            2,
+        ),
+    ];
+    let start = Moment::now();
+    let at = |s: u64| start.at(start.steady + secs(s));
+    for (name, peers, happens, expected) in cases {
+        let mut w = Watermark::new(at(0), peers.iter().map(|p| p.to_string()));
+        for h in happens {
+            match *h {
+                Read(asked) => w.read(at(asked)),
+                Told(peer, asked, came, continues) => {
+                    let (asked, came) = (at(asked), at(came));
+                    let word = Word {
+                        asked,
+                        came,
+                        continues,
+                    };
+                    w.told(peer, word);
+                }
+            }
+        }
+        assert_eq!(w.age(at(100)), secs(100 - expected), "{name}");
+        assert!(w.renews(at(expected + 9), secs(10)), "{name}");
+        assert!(!w.renews(at(expected + 10), secs(10)), "{name}");
+    }
+    // Whoever has no peers confirms everything itself.
+    assert!(Watermark::new(at(0), []).renews(at(1000), secs(10)));
+}
+
+/// Guards against a process that stood still, whose steady clock stood with it.
+#[test]
+fn the_clock_that_says_more_counts() {
+    let start = Moment::now();
+    let w = Watermark::new(start, ["b".to_owned()]);
+    let later = |steady: u64, day: u64| Moment {
+        steady: start.steady + secs(steady),
+        day: start.day + secs(day),
+    };
+    assert!(w.renews(later(9, 9), secs(10)));
+    assert!(!w.renews(later(2, 10), secs(10)));
+    assert!(!w.renews(later(10, 2), secs(10)));
+    // A time of day set back says nothing.
+    let back = Moment {
+        steady: start.steady + secs(9),
+        day: start.day - secs(50),
+    };
+    assert!(w.renews(back, secs(10)));
+}
+
+/// A running task on a machine of a leader with one peer.
+fn in_doubt() -> (World, Attempt) {
+    let mut w = World::new();
+    w.beat("i-1", 1, vec![]);
+    w.job(spec("wk-000001", 1, 4.0));
+    let attempt = launches(&w.settle())[0].2;
+    let read = Moment {
+        steady: w.now,
+        day: SystemTime::now(),
+    };
+    w.c.clocks(read);
+    w.c.confirmed_by(["b".to_owned()], read);
+    (w, attempt)
+}
+
+/// The gap: without the state service and its peers' word a leader answers only while a lease
+/// renewed then ends in time. What reports show is taken, and kills go out by themselves.
+#[test]
+fn past_the_watermark_reports_are_taken_and_not_answered() {
+    let (mut w, attempt) = in_doubt();
+    let tasks = || vec![shown("wk-000001", 0, attempt, TaskPhase::Running)];
+    let (bound, _) = patience(w.c.params.lease, w.c.params.cancel);
+    w.beat("i-1", 2, tasks());
+    // The process runs all the while.
+    w.run(bound.as_secs() - 1);
+    w.beat("i-1", 3, tasks());
+    let answered = w.c.hosts[&HostId::from("i-1")].last_answer;
+    w.run(2);
+    let epoch = w.c.hosts[&HostId::from("i-1")].epoch.0;
+    let report = World::report("i-1", 1, 4, epoch, tasks());
+    assert_eq!(w.c.on_report(w.now, report, true), Answer::Withheld);
+    let h = &w.c.hosts[&HostId::from("i-1")];
+    assert_eq!(h.last_answer, answered, "no lease is renewed in the books");
+    assert_eq!((h.serial, h.last_heard), (4, w.now), "yet it was heard");
+    // A late copy's answer would renew a lease too.
+    let copy = World::report("i-1", 1, 2, epoch, tasks());
+    assert_eq!(w.c.on_report(w.now, copy, true), Answer::Withheld);
+    // A peer's word about the job: the kill goes straight to the machine.
+    w.c.on_withdrawn(w.now, &"wk-000001".into());
+    let kills = |actions: &[Action]| {
+        actions.iter().any(|a| match a {
+            Action::Send { directives, .. } => directives
+                .iter()
+                .any(|d| matches!(d, Directive::Kill { .. })),
+            _ => false,
+        })
+    };
+    assert!(kills(&w.c.tick(w.now)));
+    // The lease runs out, and with it what was there.
+    w.run(31);
+    assert_eq!(w.active("wk-000001", 0), None);
+    // The state service is back: reports are answered again.
+    let read = Moment {
+        steady: w.now,
+        day: SystemTime::now(),
+    };
+    w.c.clocks(read);
+    w.c.withdrawals_read(read);
+    w.beat("i-1", 9, vec![]);
+}
+
+/// A leader without the state service launches nothing, not even what was durable before: the job
+/// may have been withdrawn since. It is launched as soon as the leadership is certain again.
+#[test]
+fn launches_wait_for_a_certain_leadership() {
+    let mut w = World::new();
+    w.beat("i-1", 1, vec![]);
+    w.c.confirm(false);
+    w.job(spec("wk-000001", 1, 4.0));
+    assert_eq!(launches(&w.settle()), vec![]);
+    let (_, in_answer) = w.beat("i-1", 2, vec![]);
+    assert_eq!(in_answer, vec![]);
+    assert!(w.active("wk-000001", 0).is_some(), "its intent is durable");
+    w.c.confirm(true);
+    assert_eq!(launches(&w.c.flush(w.now)).len(), 1);
+}
+
+#[test]
+fn a_nodes_withdrawals_are_read_by_position() {
+    let v = View::new(Instant::now());
+    let uid = |n: u32| Uid::from(format!("wk-{n:06}").as_str());
+    let learn = |from: u32, to: u32| {
+        for n in from..to {
+            v.remember_final(&uid(n), Verdict::Withdrawn);
+        }
+    };
+    learn(0, 3);
+    // The first look covers nothing; it tells where to begin.
+    let first = v.withdrawals(None);
+    assert_eq!((first.continues, first.uids.len()), (false, 0));
+    assert!(!first.more);
+    learn(0, 5);
+    v.remember_final(&uid(900), Verdict::Done);
+    let page = v.withdrawals(Some((first.life, first.next)));
+    assert_eq!(page.uids, vec![uid(3), uid(4)], "each once, and only those");
+    assert!(page.continues && !page.more);
+    // Another life's position, and one that is not kept any more or not reached yet.
+    assert!(!v.withdrawals(Some((first.life ^ 1, 0))).continues);
+    assert!(!v.withdrawals(Some((first.life, 99))).continues);
+    learn(1_000, 31_000);
+    assert!(!v.withdrawals(Some((first.life, page.next))).continues);
+    // Many come in parts, with nothing left out.
+    let mut at = v.withdrawals(None).next - 12_000;
+    let mut got = Vec::new();
+    loop {
+        let p = v.withdrawals(Some((first.life, at)));
+        assert!(p.continues);
+        got.extend(p.uids);
+        at = p.next;
+        if !p.more {
+            break;
+        }
+    }
+    let expected: Vec<Uid> = (19_000..31_000).map(uid).collect();
+    assert_eq!(got, expected);
+}
