Copies from before the term prove nothing, of whichever session; loading asks again

Copies of reports of two sessions then reached the leader after it: the first, without the task, set it to be launched again there, the second, of the later session, seemed to prove it gone, and it was started elsewhere. The later session now counts only in a report that shows this term's token; so does the end of an attempt.

Ruled out: late transactions (all stamps held), the lease's books (21 s into the term).

Tests: a table of copies, and a leader that loads while comparisons are not answered; both fail on the code before.

--- a/src/core/reports.rs
+++ b/src/core/reports.rs
@@ -152,6 +152,10 @@
             }
             (None, old) => old,
         };
+        // Sent after this term began, or by a machine without a past. Any other may be a copy from
+        // before an end of the session: what it shows may long be otherwise, since a leader launches
+        // the same attempt again where a session ended.
+        let current = r.epoch.term() == term || h.own;
         let mut strays = Vec::new();
         let mut forgets = Vec::new();
         let mut foreign = Need::default();
@@ -165,7 +169,9 @@
             let held = job.is_some_and(|j| j.is_held(t.task.index, t.attempt));
             match t.phase {
                 TaskPhase::Ended(exit) if matches => {
-                    self.ended(now, &r, &t.task, exit);
+                    if current {
+                        self.ended(now, &r, &t.task, exit);
+                    }
                 }
                 TaskPhase::Ended(_) if !held => forgets.push(Directive::Forget {
                     task: t.task.clone(),
@@ -379,7 +385,9 @@
             if !a.durable || listed.contains(&(task.clone(), a.attempt)) {
                 continue;
             }
-            let earlier = a.tenure.is_some_and(|t| t < r.tenure) && a.launch_epoch != Epoch(0);
+            let current = r.epoch.term() == self.term || h.own;
+            let earlier =
+                a.tenure.is_some_and(|t| t < r.tenure) && a.launch_epoch != Epoch(0) && current;
             let unwanted = a.kill.is_some() || h.returning || h.eviction.is_some();
             if earlier {
                 // The worker began a new session and killed what it had; commands of the old
--- a/src/runtime/elector.rs
+++ b/src/runtime/elector.rs
@@ -31,6 +31,8 @@
 /// Timers this late double the leader's lease, at most `MOST_LONGER` times more is added to it.
 const STRAINED: Duration = Duration::from_millis(200);
 const MOST_LONGER: f64 = 3.0;
+/// Before a call that failed is made again while loading.
+const LOAD_PAUSE: Duration = Duration::from_millis(100);
 const WATCH_BLOCK: Duration = Duration::from_secs(5);
 
 /// What the elector hears.
@@ -338,22 +340,37 @@
 }
 
 /// Jobs whose verdict is written, and whose place in the index of live jobs is not removed yet.
-fn over_already(shared: &Shared, live: &[Pair<StoredJob>]) -> Result<HashSet<Uid>, StoreError> {
+///
+/// A call whose answer is lost is made again, and what has been found out is kept: with one long wait for
+/// each answer a leader loaded for 100 s while a third of the answers were lost.
+fn over_already(
+    shared: &Shared,
+    live: &[Pair<StoredJob>],
+    stop: &Stop,
+) -> Result<HashSet<Uid>, StoreError> {
     let prefix = ledger::LIVE_PREFIX;
     let uids = live.iter().filter_map(|p| p.path.strip_prefix(prefix));
     let uids: Vec<Uid> = uids.filter_map(Uid::parse).collect();
     let mut over = HashSet::new();
     let until = Instant::now() + Duration::from_secs(20);
     for part in uids.chunks(questions::most_at_once(shared)) {
-        let asked = Asked::new(&shared.store, &shared.stop, Rank::Leader, until);
-        let part: BTreeSet<Uid> = part.iter().cloned().collect();
-        let mut accepted = part.clone();
-        let (found, trouble) = inquiry::standings(&asked, &part, &mut accepted);
-        if let Some(e) = trouble {
-            return Err(e);
+        let mut left: BTreeSet<Uid> = part.iter().cloned().collect();
+        let mut accepted = left.clone();
+        loop {
+            let patience = (Instant::now() + CALL).min(until);
+            let asked = Asked::new(&shared.store, stop, Rank::Leader, patience);
+            let (found, trouble) = inquiry::standings(&asked, &left, &mut accepted);
+            left.retain(|u| !found.contains_key(u));
+            let ended = |s: &Standing| matches!(s, Some(Verdict::Done));
+            over.extend(found.into_iter().filter(|(_, s)| ended(s)).map(|f| f.0));
+            match trouble {
+                None => break,
+                Some(e) if Instant::now() + LOAD_PAUSE >= until || stop.wait(LOAD_PAUSE) => {
+                    return Err(e)
+                }
+                Some(_) => {}
+            }
         }
-        let ended = |s: &Standing| matches!(s, Some(Verdict::Done));
-        over.extend(found.into_iter().filter(|(_, s)| ended(s)).map(|f| f.0));
     }
     Ok(over)
 }
@@ -396,7 +413,7 @@
         c.history.load(&Summary::from(h.value));
     }
     let (jobs, chunks) = (live.len(), intents.len());
-    let over = over_already(shared, &live)?;
+    let over = over_already(shared, &live, stop)?;
     for p in live {
         match p.value.into_spec() {
             Some(spec) if over.contains(&spec.uid) => c.forget_index(&spec.uid),
--- a/tests/end_to_end.rs
+++ b/tests/end_to_end.rs
@@ -458,6 +458,29 @@
     node.stop();
 }
 
+/// Guards against a leader that loads for minutes because it waits long for each answer that is lost.
+#[test]
+fn a_leader_that_loads_asks_again_for_what_is_not_answered() {
+    let site = Site::new(2);
+    let first = site.start(0);
+    for n in 0..5 {
+        submit(site.names[0].1, &format!("wk-00001{n}"), 1);
+    }
+    first.stop();
+    site.state.lose.store(3, Ordering::SeqCst);
+    let second = site.start(1);
+    until("it leads", || leads(&second));
+    let since = Instant::now();
+    until("it has loaded", || second.shared.view.read().loaded);
+    assert!(
+        since.elapsed() < Duration::from_secs(12),
+        "{:?}",
+        since.elapsed()
+    );
+    assert_eq!(site.state.lose.load(Ordering::SeqCst), 0, "they were lost");
+    second.stop();
+}
+
 /// The gap between two troubles: the state service refuses the leader alone, another node confirms a
 /// cancellation, and then it is out for everybody for longer than `cancel_s`, while the workers go on
 /// reporting to the old leader. The tasks are gone within `cancel_s` all the same, and a plain outage
--- a/tests/standins/mod.rs
+++ b/tests/standins/mod.rs
@@ -141,6 +141,8 @@
 pub struct StateService {
     ledger: Arc<(Mutex<Ledger>, Condvar)>,
     pub out: Arc<AtomicBool>,
+    /// So many of the next transactions that change nothing are not answered in time.
+    pub lose: Arc<AtomicU64>,
     pub address: SocketAddr,
 }
 
@@ -148,16 +150,27 @@
     pub fn start() -> StateService {
         let ledger: Arc<(Mutex<Ledger>, Condvar)> = Arc::default();
         let out = Arc::new(AtomicBool::new(false));
-        let (l, o) = (ledger.clone(), out.clone());
+        let lose: Arc<AtomicU64> = Arc::default();
+        let (l, o, n) = (ledger.clone(), out.clone(), lose.clone());
         let address = serve(move |method, url, body| {
             if o.load(Ordering::SeqCst) {
                 return (503, Any::Nil(()));
             }
+            let left = |n: u64| n.checked_sub(1);
+            let compares = url == "/txn" && body.list("Apply").is_empty();
+            if compares
+                && n.fetch_update(Ordering::SeqCst, Ordering::SeqCst, left)
+                    .is_ok()
+            {
+                // Longer than anybody waits.
+                std::thread::sleep(Duration::from_secs(40));
+            }
             answer(&l, method, url, &body)
         });
         StateService {
             ledger,
             out,
+            lose,
             address,
         }
     }
--- a/tests/troubles.rs
+++ b/tests/troubles.rs
@@ -196,6 +196,58 @@
     }
 }
 
+/// Guards against a task that ran twice: an earlier leader had launched the same attempt again in the
+/// machine's second session. Copies of reports of both sessions, kept for the next leader, seemed to
+/// prove it gone.
+#[test]
+fn copies_from_before_the_term_prove_nothing_whatever_their_session() {
+    let a = Attempt(7);
+    let running = || vec![shown("wk-000001", 0, a, TaskPhase::Running)];
+    let ended = |exit| vec![shown("wk-000001", 0, a, TaskPhase::Ended(exit))];
+    // The copies in the order of their coming: tenure, serial, tasks.
+    type Copies = Vec<(u64, u64, Vec<TaskReport>)>;
+    let cases: [(&str, Copies); 4] = [
+        (
+            "empty ones of two sessions",
+            vec![(1, 40, vec![]), (2, 1, vec![])],
+        ),
+        (
+            "it ran in the first",
+            vec![(1, 40, running()), (2, 1, vec![])],
+        ),
+        (
+            "stopped in the first",
+            vec![(1, 40, ended(Exit::Stopped { stored: false }))],
+        ),
+        ("failed in the first", vec![(1, 40, ended(Exit::Error))]),
+    ];
+    for (name, copies) in cases {
+        let mut w = World::new();
+        w.job(spec("wk-000001", 1, 4.0));
+        let value = ChunkValue {
+            done: 0,
+            active: vec![(0, a, host())],
+        };
+        w.c.load_chunk(w.now, &"wk-000001".into(), 0, value, 90);
+        w.beat("i-2", 1, vec![]);
+        let before = Epoch::first(Term(TERM.0 - 1)).0;
+        for (tenure, serial, tasks) in copies {
+            let copy = World::report("i-1", tenure, serial, before, tasks);
+            w.c.on_report(w.now, copy, true);
+            w.settle();
+            assert_eq!(w.active("wk-000001", 0), Some((host(), a)), "{name}");
+        }
+        // The machine itself, once it shows this term's token: it runs there, or is proved gone.
+        let epoch = w.c.hosts[&host()].epoch.0;
+        let live = World::report("i-1", 2, 50, epoch, running());
+        w.c.on_report(w.now, live, true);
+        assert_eq!(w.active("wk-000001", 0), Some((host(), a)), "{name}");
+        let live = World::report("i-1", 3, 51, epoch, vec![]);
+        w.c.on_report(w.now, live, true);
+        assert!(w.active("wk-000001", 0).is_none(), "{name}: a proof");
+    }
+}
+
 #[test]
 fn a_copy_brings_no_returned_machine_back() {
     let mut w = World::new();
