--- a/tests/end_to_end.rs
+++ b/tests/end_to_end.rs
@@ -481,6 +481,70 @@
     second.stop();
 }
 
+/// Transactions whose answers are lost, or which are carried out only after newer ones: whoever asks
+/// hears nothing older than what a user was told, and nothing happens twice.
+#[test]
+fn transactions_without_an_answer_are_told_truly() {
+    let site = Site::new(2);
+    let nodes = [site.start(0), site.start(1)];
+    let worker = Worker::start("i-1", Duration::from_secs(600), site.names.clone());
+    let [a, b] = [site.names[0].1, site.names[1].1];
+    until("one leads", || nodes.iter().find_map(leads));
+    submit(a, "wk-000100", 1);
+    until("started", || (worker.running() == 1).then_some(()));
+    let late = Fault::Late(Duration::from_millis(2500));
+    // The key whose transaction is not answered, and how.
+    let cases = [
+        ("wk-000101", "q/l/", Fault::AnswerLost),
+        ("wk-000102", "q/l/", late),
+        ("wk-000103", "j/", Fault::AnswerLost),
+        ("wk-000104", "j/", late),
+    ];
+    for (uid, prefix, fault) in cases {
+        let path = format!("/api/jobs/{uid}/withdraw");
+        if prefix == "j/" {
+            submit(a, uid, 1);
+        }
+        site.state.fault(prefix, fault);
+        if prefix == "q/l/" {
+            submit(a, uid, 1);
+            // Accepted is accepted, at every node, for a repetition too.
+            for _ in 0..40 {
+                for node in [a, b] {
+                    assert!(phase(node, uid).is_some(), "{uid}: {fault:?}");
+                    let again = call("POST", node, "/api/jobs", Some(&submission(uid, 1)));
+                    assert_eq!(again.0, 200, "{uid}: {fault:?}");
+                }
+                std::thread::sleep(Duration::from_millis(50));
+            }
+        }
+        until("withdrawn", || {
+            let (status, body) = call("POST", a, &path, None);
+            (status == 200).then(|| assert_eq!(body.text("Phase"), "withdrawn"))
+        });
+        for _ in 0..60 {
+            for node in [b, a] {
+                let said = phase(node, uid);
+                assert_eq!(said.as_deref(), Some("withdrawn"), "{uid}: {fault:?}");
+            }
+            std::thread::sleep(Duration::from_millis(50));
+        }
+        assert_eq!(site.state.faults_left(), 0, "{uid}: the fault was met");
+    }
+    // None of them ran twice, and none runs on.
+    until("only the first is left", || {
+        (worker.running() == 1).then_some(())
+    });
+    let mut starts = worker.starts();
+    let all = starts.len();
+    starts.sort();
+    starts.dedup_by(|a, b| a.0 == b.0);
+    assert_eq!(starts.len(), all, "{starts:?}");
+    for n in nodes {
+        n.stop();
+    }
+}
+
 /// The gap between two troubles: the state service refuses the leader alone, another node confirms a
 /// cancellation, and then it is out for everybody for longer than `cancel_s`, while the workers go on
 /// reporting to the old leader. The tasks are gone within `cancel_s` all the same, and a plain outage
--- /dev/null
+++ b/tests/meetings.rs
@@ -0,0 +1,192 @@
+//! Meetings of troubles, in the core alone: what a leader does that comes into them.
+
+mod common;
+
+use common::*;
+use cypressgap::core::cluster::Action;
+use cypressgap::core::ledger::{ChunkValue, Op, Value, Verdict};
+use cypressgap::core::model::*;
+
+fn loaded(w: &mut World, uid: &str, done: u64, active: &[(u32, &str)]) {
+    let active = active
+        .iter()
+        .map(|(i, h)| (*i, Attempt(100 + u64::from(*i)), HostId::from(*h)))
+        .collect();
+    let value = ChunkValue { done, active };
+    w.c.load_chunk(w.now, &uid.into(), 0, value, 90);
+}
+
+fn running(uid: &str, index: u32) -> TaskReport {
+    shown(
+        uid,
+        index,
+        Attempt(100 + u64::from(index)),
+        TaskPhase::Running,
+    )
+}
+
+/// A team at its limit, its jobs withdrawn on machines that are cut off or hang, and a new leader: what
+/// may still be there counts for the limit until it is proved gone, however it goes.
+#[test]
+fn withdrawn_tasks_on_unheard_machines_hold_their_teams_limit_until_proved_gone() {
+    enum Goes {
+        Returned,
+        NewSession,
+        AnswersAndEnds,
+    }
+    for goes in [Goes::Returned, Goes::NewSession, Goes::AnswersAndEnds] {
+        let mut w = World::with(params(), vec![host_type("m8", 8.0), host_type("m32", 32.0)]);
+        // Red may use 32: four tasks of eight, on machines that this leader has not heard.
+        w.job(spec("wk-000001", 4, 8.0));
+        let on = [(0, "i-1"), (1, "i-2"), (2, "i-3"), (3, "i-4")];
+        loaded(&mut w, "wk-000001", 0, &on);
+        w.c.on_withdrawn(w.now, &"wk-000001".into());
+        w.job(spec("wk-000002", 1, 8.0));
+        w.beat("i-9", 1, vec![]);
+        w.beat("i-9", 2, vec![]);
+        assert_eq!(launches(&w.settle()), vec![], "the limit is full");
+        match goes {
+            Goes::Returned => w.c.on_returned(w.now, &["i-1".into()]),
+            Goes::NewSession | Goes::AnswersAndEnds => {
+                // A copy from before, then the machine itself.
+                let old = Epoch::first(Term(TERM.0 - 1)).0;
+                let copy = World::report("i-1", 1, 3, old, vec![]);
+                w.c.on_report(w.now, copy, true);
+                assert_eq!(launches(&w.settle()), vec![], "a copy is no proof");
+                let tenure = if matches!(goes, Goes::NewSession) {
+                    2
+                } else {
+                    1
+                };
+                let epoch = w.c.hosts[&HostId::from("i-1")].epoch.next().0;
+                let live = World::report("i-1", tenure, 9, epoch, vec![]);
+                w.c.on_report(w.now, live, true);
+            }
+        }
+        let sent = launches(&w.settle());
+        assert_eq!(sent.len(), 1, "room for one");
+        assert_eq!(sent[0].1.uid, "wk-000002".into());
+    }
+}
+
+/// Tasks of one job that end far apart, with a change of leader between: done is said once all are,
+/// and none is run again.
+#[test]
+fn a_jobs_ends_are_kept_over_leaders() {
+    let mut w = World::new();
+    w.job(spec("wk-000001", 3, 2.0));
+    // One ended under the leader before, one runs, one was never sent.
+    loaded(&mut w, "wk-000001", 0b001, &[(1, "i-1")]);
+    w.beat("i-1", 1, vec![running("wk-000001", 1)]);
+    let sent = launches(&w.settle());
+    let started: Vec<u32> = sent.iter().map(|l| l.1.index).collect();
+    assert_eq!(started, vec![2]);
+    let last = sent[0].2;
+    let done = |a: &[Action]| {
+        a.iter().any(|a| match a {
+            Action::Store(b) => b
+                .ops
+                .iter()
+                .any(|o| matches!(o, Op::Put(_, Value::Verdict(Verdict::Done)))),
+            _ => false,
+        })
+    };
+    let ended = |i, a| shown("wk-000001", i, a, TaskPhase::Ended(Exit::Done));
+    w.beat(
+        "i-1",
+        2,
+        vec![
+            ended(1, Attempt(101)),
+            shown("wk-000001", 2, last, TaskPhase::Running),
+        ],
+    );
+    for second in 0..60 {
+        w.pass(secs(1));
+        let left = vec![shown("wk-000001", 2, last, TaskPhase::Running)];
+        w.beat("i-1", 10 + second, left);
+        let actions = w.c.tick(w.now);
+        assert!(!done(&actions), "one task still runs");
+        for a in actions {
+            if let Action::Store(_) = a {
+                w.revision += 1;
+                let revision = w.revision;
+                let applied = cypressgap::core::ledger::BatchOutcome::Applied { revision };
+                w.c.on_batch(w.now, applied);
+            }
+        }
+    }
+    w.beat("i-1", 90, vec![ended(2, last)]);
+    let written = w.batch().expect("the verdict");
+    assert!(done(&[Action::Store(written)]));
+}
+
+/// The end of a job's last task meets its withdrawal: whichever verdict is written first stands, and the
+/// other one is not written over it.
+#[test]
+fn the_last_end_and_a_withdrawal_exclude_each_other() {
+    // Whether the withdrawal's verdict was there when done was to be written.
+    for withdrawn_first in [false, true] {
+        let mut w = World::new();
+        w.beat("i-1", 1, vec![]);
+        w.job(spec("wk-000001", 1, 2.0));
+        let a = launches(&w.settle())[0].2;
+        w.beat(
+            "i-1",
+            2,
+            vec![shown("wk-000001", 0, a, TaskPhase::Ended(Exit::Done))],
+        );
+        let batch = w.batch().expect("the verdict");
+        assert!(batch.conditions.contains(&("j/wk-000001".to_owned(), 0)));
+        let outcome = if withdrawn_first {
+            let found = vec![("j/wk-000001".to_owned(), 777, Some(Verdict::Withdrawn))];
+            cypressgap::core::ledger::BatchOutcome::Failed { found }
+        } else {
+            cypressgap::core::ledger::BatchOutcome::Applied { revision: 777 }
+        };
+        w.c.on_batch(w.now, outcome);
+        // What comes later of the other verdict changes nothing.
+        w.c.on_withdrawn(w.now, &"wk-000001".into());
+        for a in w.settle() {
+            let Action::Store(b) = a else { continue };
+            let again = |o: &Op| matches!(o, Op::Put(_, Value::Verdict(_)));
+            assert!(!b.ops.iter().any(again), "{withdrawn_first}");
+        }
+        assert!(w.c.jobs.is_empty(), "{withdrawn_first}: nothing is left");
+    }
+}
+
+/// A leader that has just taken over, with machines that cannot be reached: what was withdrawn there
+/// costs the machine well before the time is over, also when its reports come and nothing reaches it.
+#[test]
+fn withdrawn_tasks_of_machines_that_cannot_be_reached_go_with_the_machine() {
+    for reports in [false, true] {
+        let mut w = World::new();
+        w.job(spec("wk-000001", 1, 8.0));
+        loaded(&mut w, "wk-000001", 0, &[(0, "i-1")]);
+        w.c.on_withdrawn(w.now, &"wk-000001".into());
+        let cancel = w.c.params.cancel.as_secs();
+        let old = Epoch::first(Term(TERM.0 - 1)).0;
+        let mut returned = None;
+        for second in 1..cancel {
+            w.pass(secs(1));
+            if reports && second % 3 == 0 {
+                let tasks = vec![running("wk-000001", 0)];
+                let r = World::report("i-1", 1, 10 + second, old, tasks);
+                w.c.on_report(w.now, r, true);
+            }
+            w.beat("i-8", second, vec![]);
+            w.beat("i-9", second, vec![]);
+            let back =
+                |a: &Action| matches!(a, Action::Return { hosts } if hosts.contains(&"i-1".into()));
+            if returned.is_none() && w.c.tick(w.now).iter().any(back) {
+                returned = Some(second);
+            }
+        }
+        let at = returned.unwrap_or_else(|| panic!("{reports}: never given back"));
+        assert!(at <= cancel / 2, "{reports}: only after {at} s");
+        assert!(
+            w.active("wk-000001", 0).is_some(),
+            "not gone before the word"
+        );
+    }
+}
--- a/tests/standins/mod.rs
+++ b/tests/standins/mod.rs
@@ -136,6 +136,15 @@
     }
 }
 
+/// What becomes of a transaction that is not answered.
+#[derive(Clone, Copy, Debug)]
+pub enum Fault {
+    /// It is carried out at once.
+    AnswerLost,
+    /// It is carried out only after this time, behind newer ones.
+    Late(Duration),
+}
+
 /// The state service, with a switch for outages.
 #[derive(Clone)]
 pub struct StateService {
@@ -143,6 +152,8 @@
     pub out: Arc<AtomicBool>,
     /// So many of the next transactions that change nothing are not answered in time.
     pub lose: Arc<AtomicU64>,
+    /// For the next transaction that puts a key with this prefix.
+    faults: Arc<Mutex<Vec<(&'static str, Fault)>>>,
     pub address: SocketAddr,
 }
 
@@ -151,7 +162,9 @@
         let ledger: Arc<(Mutex<Ledger>, Condvar)> = Arc::default();
         let out = Arc::new(AtomicBool::new(false));
         let lose: Arc<AtomicU64> = Arc::default();
+        let faults: Arc<Mutex<Vec<(&'static str, Fault)>>> = Arc::default();
         let (l, o, n) = (ledger.clone(), out.clone(), lose.clone());
+        let f = faults.clone();
         let address = serve(move |method, url, body| {
             if o.load(Ordering::SeqCst) {
                 return (503, Any::Nil(()));
@@ -165,16 +178,41 @@
                 // Longer than anybody waits.
                 std::thread::sleep(Duration::from_secs(40));
             }
+            match fault_of(&f, url, &body) {
+                Some(Fault::AnswerLost) => {
+                    answer(&l, method, url, &body);
+                    std::thread::sleep(Duration::from_secs(40));
+                }
+                Some(Fault::Late(after)) => {
+                    std::thread::sleep(after);
+                    answer(&l, method, url, &body);
+                    std::thread::sleep(Duration::from_secs(40));
+                }
+                None => {}
+            }
             answer(&l, method, url, &body)
         });
         StateService {
             ledger,
             out,
             lose,
+            faults,
             address,
         }
     }
 
+    pub fn fault(&self, prefix: &'static str, fault: Fault) {
+        self.faults
+            .lock()
+            .expect("the faults")
+            .push((prefix, fault));
+    }
+
+    /// Faults that no transaction has met yet.
+    pub fn faults_left(&self) -> usize {
+        self.faults.lock().expect("the faults").len()
+    }
+
     pub fn keys(&self, prefix: &str) -> Vec<String> {
         let l = self.ledger.0.lock().expect("the ledger");
         let keys = l.keys.keys().filter(|k| k.starts_with(prefix));
@@ -182,6 +220,17 @@
     }
 }
 
+fn fault_of(faults: &Mutex<Vec<(&'static str, Fault)>>, url: &str, body: &Any) -> Option<Fault> {
+    if url != "/txn" {
+        return None;
+    }
+    let puts = body.list("Apply");
+    let mut all = faults.lock().expect("the faults");
+    let met = |p: &str| puts.iter().any(|o| o.text("Put").starts_with(p));
+    let at = all.iter().position(|f| met(f.0))?;
+    Some(all.remove(at).1)
+}
+
 fn query(url: &str, name: &str) -> Option<String> {
     let (_, q) = url.split_once('?')?;
     q.split('&')
