--- a/src/core/capacity.rs
+++ b/src/core/capacity.rs
@@ -159,7 +159,7 @@
             .iter()
             .filter(|o| o.kind == "finished" && o.class.as_ref() == Some(&job.spec.class))
             .filter_map(|o| o.within)
-            .chain(job.spec.due)
+            .chain(job.due_at.map(|d| d.saturating_duration_since(job.arrived)))
             .min()
     }
 
--- a/src/core/cluster.rs
+++ b/src/core/cluster.rs
@@ -5,9 +5,10 @@
 //! later tenure, the cloud's word that the host was returned, or a lease that certainly ran out.
 
 use super::capacity::Capacity;
+use super::dependencies::{Dependencies, Standing};
 pub use super::entities::{Active, Chunk, Host, Job, Kill};
 use super::history::History;
-use super::ledger::{self, ChunkValue, InFlight, CHUNK};
+use super::ledger::{self, ChunkValue, InFlight, Verdict, CHUNK};
 use super::model::*;
 use super::pace::Pace;
 use super::watermark::{self, Moment, Watermark, Word};
@@ -122,6 +123,7 @@
     /// The leadership is not in doubt.
     pub(super) confirmed: bool,
     pub(super) last_return: Option<Instant>,
+    pub(super) dependencies: Dependencies,
     /// Up to when all confirmed withdrawals are known.
     watermark: Watermark,
     /// Both clocks as they were last read together.
@@ -183,6 +185,7 @@
             awake_since: now,
             confirmed: true,
             last_return: None,
+            dependencies: Dependencies::default(),
             watermark: Watermark::new(clocks, []),
             clocks,
         }
@@ -255,12 +258,105 @@
         } else {
             self.started + Duration::from_millis(spec.accepted_ms - self.started_ms)
         };
-        self.capacity.saw_job(&spec, arrived);
-        self.jobs.insert(uid, Job::new(spec, stamp, arrived));
+        let standing = self.dependencies.add(&uid, &spec.needs);
+        if standing == Standing::Ready {
+            self.capacity.saw_job(&spec, arrived);
+        }
+        let mut job = Job::new(spec, stamp, arrived);
+        job.blocked = standing != Standing::Ready;
+        job.chunk_room = ledger::chunk_room(self.params.value_bytes);
+        job.due_at = job.spec.due.map(|d| arrived + d);
+        self.jobs.insert(uid.clone(), job);
+        match standing {
+            Standing::Ready => {}
+            Standing::Blocked => self.inherit(&uid),
+            Standing::Orphaned => self.orphan_new(&uid),
+        }
+        // Jobs that need it may have been heard of first.
+        let by: Vec<Uid> = self.dependencies.dependents(&uid).cloned().collect();
+        by.iter().for_each(|d| self.inherit(d));
         self.order_stale = true;
         self.round_due = true;
     }
 
+    /// What a blocked job needs takes its urgency, where that is higher, and has to be done so early
+    /// that this one can still be on time: the upward rank of HEFT, counted back from the deadline.
+    fn inherit(&mut self, uid: &Uid) {
+        let mut next = vec![uid.clone()];
+        while let Some(u) = next.pop() {
+            let Some(job) = self.jobs.get(&u) else {
+                continue;
+            };
+            let urgency = job.spec.urgency;
+            let types = self.types.iter().filter(|t| job.spec.allows_type(&t.name));
+            let est = types.map(|t| self.history.est(&job.spec, &t.name)).min();
+            let est = est.unwrap_or(job.spec.expected);
+            let due = job.due_at.and_then(|d| d.checked_sub(est));
+            let needs: Vec<Uid> = self.dependencies.needs(&u).cloned().collect();
+            for need in needs {
+                let Some(n) = self.jobs.get_mut(&need) else {
+                    continue;
+                };
+                let sooner = due.is_some_and(|d| n.due_at.is_none_or(|own| d < own));
+                if urgency > n.spec.urgency || sooner {
+                    n.spec.urgency = n.spec.urgency.max(urgency);
+                    if sooner {
+                        n.due_at = due;
+                    }
+                    next.push(need);
+                }
+            }
+        }
+    }
+
+    /// A job's `done` is durable: those that needed only it may start. Their waits count from now.
+    pub(super) fn ready(&mut self, now: Instant, uid: &Uid) {
+        for d in self.dependencies.done(uid) {
+            if let Some(job) = self.jobs.get_mut(&d) {
+                log::debug!("all that it needs is done job={d}");
+                job.blocked = false;
+                job.arrived = now;
+                job.last_placed = now;
+                self.capacity.saw_job(&job.spec, now);
+                self.round_due = true;
+            }
+        }
+    }
+
+    /// How a job ended that is not in the picture.
+    pub fn ended_before(&mut self, now: Instant, uid: &Uid, verdict: Verdict) {
+        match verdict {
+            Verdict::Done => self.ready(now, uid),
+            Verdict::Withdrawn => self.orphan_dependents(uid),
+            Verdict::Live => {}
+        }
+    }
+
+    /// Jobs that others need and of which nothing is known here.
+    pub fn unresolved(&self) -> Vec<Uid> {
+        self.dependencies.unresolved(|u| self.jobs.contains_key(u))
+    }
+
+    fn orphan_dependents(&mut self, uid: &Uid) {
+        for d in self.dependencies.withdrawn(uid) {
+            self.orphan(&d);
+        }
+    }
+
+    /// Found orphaned when it was heard of; whatever needs it is, too.
+    fn orphan_new(&mut self, uid: &Uid) {
+        self.orphan(uid);
+        self.orphan_dependents(uid);
+    }
+
+    /// Something that it needs is withdrawn, so it is: its verdict is written next.
+    fn orphan(&mut self, uid: &Uid) {
+        if let Some(job) = self.jobs.get_mut(uid) {
+            job.orphaned = true;
+            self.dirty_jobs.insert(uid.clone());
+        }
+    }
+
     /// An intent chunk found at takeover. Whatever it names may be on its host.
     pub fn load_chunk(
         &mut self,
@@ -327,6 +423,10 @@
     }
 
     pub fn on_withdrawn(&mut self, now: Instant, uid: &Uid) {
+        if self.dependencies.has_dependents(uid) {
+            self.leftovers.push(ledger::dependents_key(uid));
+        }
+        self.orphan_dependents(uid);
         let Some(job) = self.jobs.get_mut(uid) else {
             return;
         };
--- /dev/null
+++ b/src/core/dependencies.rs
@@ -0,0 +1,141 @@
+//! Which jobs wait for which: the graph of live jobs and of what they need.
+//!
+//! Only accepted jobs may be named, so the graph has no cycles. A job is blocked until a durable `done`
+//! of each of its dependencies is known; nothing else releases it, so what is not known blocks. When a
+//! job is withdrawn, so are all of its dependents, direct or through others: none of them can have
+//! started, since what they need was not done.
+
+use super::ledger::Verdict;
+use super::model::Uid;
+use std::collections::{BTreeSet, HashMap, VecDeque};
+
+/// How jobs ended is remembered for this many, oldest first. A job's acceptance is heard of later than
+/// an end that followed it only by the watch's delay.
+const ENDS_KEPT: usize = 100_000;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Standing {
+    Ready,
+    Blocked,
+    /// Something that it needs was withdrawn.
+    Orphaned,
+}
+
+#[derive(Default)]
+pub struct Dependencies {
+    /// What live jobs need that is not known to be done.
+    open: HashMap<Uid, BTreeSet<Uid>>,
+    dependents: HashMap<Uid, BTreeSet<Uid>>,
+    ends: HashMap<Uid, Verdict>,
+    order: VecDeque<Uid>,
+}
+
+impl Dependencies {
+    /// A live job and what it needs.
+    pub fn add(&mut self, uid: &Uid, needs: &[Uid]) -> Standing {
+        let mut open = BTreeSet::new();
+        let mut orphaned = false;
+        for need in needs {
+            match self.ends.get(need) {
+                Some(Verdict::Done) => {}
+                Some(Verdict::Withdrawn) => orphaned = true,
+                _ => {
+                    open.insert(need.clone());
+                }
+            }
+        }
+        if orphaned {
+            return Standing::Orphaned;
+        }
+        if open.is_empty() {
+            return Standing::Ready;
+        }
+        for need in &open {
+            let of = self.dependents.entry(need.clone()).or_default();
+            of.insert(uid.clone());
+        }
+        self.open.insert(uid.clone(), open);
+        Standing::Blocked
+    }
+
+    fn ended(&mut self, uid: &Uid, verdict: Verdict) {
+        if self.ends.insert(uid.clone(), verdict).is_none() {
+            self.order.push_back(uid.clone());
+            if self.order.len() > ENDS_KEPT {
+                if let Some(old) = self.order.pop_front() {
+                    self.ends.remove(&old);
+                }
+            }
+        }
+    }
+
+    /// A job's `done` is durable. Returns the jobs that now need nothing more.
+    pub fn done(&mut self, uid: &Uid) -> Vec<Uid> {
+        self.ended(uid, Verdict::Done);
+        let mut ready = Vec::new();
+        for d in self.dependents.remove(uid).unwrap_or_default() {
+            let Some(open) = self.open.get_mut(&d) else {
+                continue;
+            };
+            open.remove(uid);
+            if open.is_empty() {
+                self.open.remove(&d);
+                ready.push(d);
+            }
+        }
+        ready
+    }
+
+    /// A job is withdrawn. Returns all jobs that need it, directly or through others.
+    pub fn withdrawn(&mut self, uid: &Uid) -> Vec<Uid> {
+        self.forget(uid);
+        self.ended(uid, Verdict::Withdrawn);
+        let mut all = Vec::new();
+        let mut next = vec![uid.clone()];
+        while let Some(u) = next.pop() {
+            for d in self.dependents.remove(&u).unwrap_or_default() {
+                if self.forget(&d) {
+                    self.ended(&d, Verdict::Withdrawn);
+                    next.push(d.clone());
+                    all.push(d);
+                }
+            }
+        }
+        all
+    }
+
+    /// Takes a job out that is over. Whether it was blocked.
+    fn forget(&mut self, uid: &Uid) -> bool {
+        let Some(open) = self.open.remove(uid) else {
+            return false;
+        };
+        for need in open {
+            if let Some(of) = self.dependents.get_mut(&need) {
+                of.remove(uid);
+                if of.is_empty() {
+                    self.dependents.remove(&need);
+                }
+            }
+        }
+        true
+    }
+
+    /// What a job still needs.
+    pub fn needs(&self, uid: &Uid) -> impl Iterator<Item = &Uid> {
+        self.open.get(uid).into_iter().flatten()
+    }
+
+    pub fn dependents(&self, uid: &Uid) -> impl Iterator<Item = &Uid> {
+        self.dependents.get(uid).into_iter().flatten()
+    }
+
+    pub fn has_dependents(&self, uid: &Uid) -> bool {
+        self.dependents.contains_key(uid)
+    }
+
+    /// Needed jobs of which neither life nor end is known: the state service tells.
+    pub fn unresolved(&self, live: impl Fn(&Uid) -> bool) -> Vec<Uid> {
+        let unknown = |u: &&Uid| !live(u);
+        self.dependents.keys().filter(unknown).cloned().collect()
+    }
+}
--- a/src/core/entities.rs
+++ b/src/core/entities.rs
@@ -63,6 +63,12 @@
     pub withdrawn: bool,
     pub withdrawn_at: Option<Instant>,
     pub finished: bool,
+    /// Something that it needs is not known to be done.
+    pub blocked: bool,
+    /// Attempts for which a chunk's value has room.
+    pub chunk_room: u32,
+    /// Something that it needs was withdrawn; its own verdict is to be written.
+    pub orphaned: bool,
     pub next: u32,
     pub requeued: BTreeSet<u32>,
     pub done_count: u32,
@@ -85,7 +91,10 @@
     pub unknowns: u32,
     pub progress: HashMap<u32, Duration>,
     /// When its user was told that it is accepted.
+    /// For a job that needed others: when the last of them was known to be done.
     pub arrived: Instant,
+    /// When it should be complete, for its own sake or for those that need it.
+    pub due_at: Option<Instant>,
     /// When one of its tasks was last placed; its arrival before that.
     pub last_placed: Instant,
     /// It once waited so long that it went before all others.
@@ -111,6 +120,10 @@
             withdrawn: false,
             withdrawn_at: None,
             finished: false,
+            blocked: false,
+            chunk_room: CHUNK,
+            orphaned: false,
+            due_at: None,
             next: 0,
             requeued: BTreeSet::new(),
             done_count: 0,
@@ -140,7 +153,7 @@
             .is_some_and(|c| c.done & (1 << (index % CHUNK)) != 0)
     }
     pub fn over(&self) -> bool {
-        self.withdrawn || self.finished || self.done_count == self.spec.shards
+        self.withdrawn || self.finished || self.orphaned || self.done_count == self.spec.shards
     }
     pub fn final_due(&self) -> bool {
         !self.withdrawn && !self.finished && self.done_count == self.spec.shards
@@ -199,10 +212,34 @@
     }
     /// The next `most` tasks that wait to be placed.
     pub fn pending(&self, most: usize) -> Vec<u32> {
-        let mut out: Vec<u32> = self.requeued.iter().take(most).copied().collect();
+        if self.blocked {
+            return Vec::new();
+        }
+        // Of an array, no more attempts at a time than their chunk's value has room for.
+        let mut room: HashMap<u32, u32> = HashMap::new();
+        let mut fits = |i: u32| {
+            if self.chunk_room >= CHUNK || self.spec.kind == JobKind::Gang {
+                return true;
+            }
+            let chunk = i / CHUNK;
+            let left = room.entry(chunk).or_insert_with(|| {
+                let range = chunk * CHUNK..chunk.saturating_add(1).saturating_mul(CHUNK);
+                self.chunk_room
+                    .saturating_sub(self.active.range(range).count() as u32)
+            });
+            let fits = *left > 0;
+            *left = left.saturating_sub(1);
+            fits
+        };
+        let waiting = self.requeued.iter().copied().filter(|i| fits(*i));
+        let mut out: Vec<u32> = waiting.take(most).collect();
         let mut i = self.next;
         while out.len() < most && i < self.spec.shards {
-            if !self.is_done(i) && !self.active.contains_key(&i) && !self.requeued.contains(&i) {
+            if !self.is_done(i)
+                && !self.active.contains_key(&i)
+                && !self.requeued.contains(&i)
+                && fits(i)
+            {
                 out.push(i);
             }
             i += 1;
@@ -210,6 +247,9 @@
         out
     }
     pub fn waiting_count(&self) -> u32 {
+        if self.blocked {
+            return 0;
+        }
         (self.spec.shards - self.done_count).saturating_sub(self.active.len() as u32)
     }
     pub fn running_count(&self) -> u32 {
--- a/src/core/ledger.rs
+++ b/src/core/ledger.rs
@@ -35,6 +35,8 @@
 pub const WITHDRAWN_PREFIX: &str = "q/w/";
 pub const INTENT_PREFIX: &str = "i/";
 
+pub const DEPENDENTS_PREFIX: &str = "d/";
+
 pub const VERDICT_PREFIX: &str = "j/";
 
 /// A job's verdict, once it is over. While this key is absent, an accepted job is live: `done` and
@@ -50,6 +52,19 @@
 pub fn withdrawn_key(uid: &Uid) -> String {
     format!("{WITHDRAWN_PREFIX}{uid}")
 }
+/// The jobs that need this one. A job is entered before it is accepted, on condition that this one has
+/// no verdict; a withdrawal is conditional on this key. So whoever withdraws a job finds all of them.
+pub fn dependents_key(uid: &Uid) -> String {
+    format!("{DEPENDENTS_PREFIX}{uid}")
+}
+/// Attempts that fit into a chunk's value of this size: each is its number, its attempt and its host.
+pub fn chunk_room(value_bytes: usize) -> u32 {
+    const HEAD: usize = 64;
+    const ATTEMPT: usize = 32;
+    const LEAST: usize = 8;
+    let room = value_bytes.saturating_sub(HEAD) / ATTEMPT;
+    room.clamp(LEAST, CHUNK as usize) as u32
+}
 pub fn chunk_key(uid: &Uid, chunk: u32) -> String {
     format!("{INTENT_PREFIX}{uid}/{chunk}")
 }
@@ -112,6 +127,7 @@
     pub launches: Vec<(TaskId, Attempt)>,
     pub finals: Vec<Uid>,
     pub closing: Vec<Uid>,
+    pub revoking: Vec<Uid>,
     pub deletes: Vec<String>,
     pub history: bool,
 }
@@ -161,6 +177,17 @@
                 flight.finals.push(uid);
                 continue;
             }
+            if job.orphaned && !job.withdrawn {
+                // Blocked all its life, so nothing of it runs.
+                if ops.len() + 2 > most {
+                    break;
+                }
+                conditions.push((job_key(&uid), job.verdict_stamp));
+                ops.push(Op::Put(job_key(&uid), Value::Verdict(Verdict::Withdrawn)));
+                ops.push(Op::Delete(live_key(&uid)));
+                flight.revoking.push(uid);
+                continue;
+            }
             if job.withdrawn && job.active.is_empty() {
                 if ops.len() + 2 > most {
                     break;
@@ -294,6 +321,16 @@
             log::info!("job done job={uid} term={}", self.term.0);
             self.closed(now, &uid);
         }
+        for uid in flight.revoking {
+            log::info!(
+                "withdrawn with what it needs job={uid} term={}",
+                self.term.0
+            );
+            if let Some(job) = self.jobs.get_mut(&uid) {
+                job.withdrawn = true;
+            }
+            self.drop_job(now, &uid);
+        }
         for uid in flight.closing {
             log::info!("withdrawn job is gone job={uid} term={}", self.term.0);
             self.drop_job(now, &uid);
@@ -301,11 +338,18 @@
     }
 
     /// The job's final record is durable.
-    fn closed(&mut self, now: Instant, uid: &Uid) {
+    pub(super) fn closed(&mut self, now: Instant, uid: &Uid) {
         let Some(job) = self.jobs.get_mut(uid) else {
             return;
         };
         job.finished = true;
+        if self.dependencies.has_dependents(uid) {
+            self.leftovers.push(dependents_key(uid));
+        }
+        self.ready(now, uid);
+        let Some(job) = self.jobs.get_mut(uid) else {
+            return;
+        };
         // Found done by the write of an intent: what was only planned is not launched.
         let planned = job.active.iter().filter(|(_, a)| !a.durable);
         let planned: Vec<u32> = planned.map(|(i, _)| *i).collect();
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -4,6 +4,7 @@
 pub mod capacity;
 pub mod cluster;
 mod departures;
+pub mod dependencies;
 mod doubt;
 mod emptying;
 pub mod entities;
--- a/src/core/model.rs
+++ b/src/core/model.rs
@@ -211,6 +211,8 @@
     pub snapshot_every: Duration,
     pub snapshot: Duration,
     pub due: Option<Duration>,
+    /// Jobs that have to be done before any task of this one starts.
+    pub needs: Vec<Uid>,
     /// Time of day of acceptance, as milliseconds since 1970.
     pub accepted_ms: u64,
 }
--- a/src/core/placement.rs
+++ b/src/core/placement.rs
@@ -878,6 +878,7 @@
             owner: "red".into(),
             kind: JobKind::Batch,
             urgency: Urgency::Standard,
+            needs: Vec::new(),
             shards: rng.gen_range(1..60),
             need: need(rng.gen_range(1..17) as f64),
             host_types: None,
--- a/src/core/queue.rs
+++ b/src/core/queue.rs
@@ -121,7 +121,11 @@
     /// work: one huge job or a flood of small ones would otherwise take all room for as long as it lasts.
     pub(super) fn beyond_fair_part(&self) -> HashSet<&TeamName> {
         let mut used: HashMap<&TeamName, Need> = HashMap::new();
-        for j in self.jobs.values().filter(|j| !j.over() && !j.doubted) {
+        for j in self
+            .jobs
+            .values()
+            .filter(|j| !j.over() && !j.doubted && !j.blocked)
+        {
             let team = &j.spec.owner;
             let of_team = || self.usage_of_late.get(team).copied().unwrap_or_default();
             used.entry(team).or_insert_with(of_team);
@@ -144,7 +148,7 @@
 
     /// Jobs that fit into their team's guarantee together with its earlier unfinished jobs.
     pub(super) fn within_guarantee(&self) -> HashSet<&Uid> {
-        let counts = |j: &&Job| !j.over() && !j.doubted;
+        let counts = |j: &&Job| !j.over() && !j.doubted && !j.blocked;
         let mut jobs: Vec<&Job> = self.jobs.values().filter(counts).collect();
         jobs.sort_by_key(|j| j.stamp);
         let mut sums: HashMap<&TeamName, Need> = HashMap::new();
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -7,13 +7,13 @@
 
 use super::listen::{self, Limits, Request};
 use super::peer::{Ask, Reply};
+use super::pipelines::{self, Entered};
 use super::questions;
 use super::wire::{self, JobState, JustUid, StoredJob, Submission};
 use crate::core::admission;
-use crate::core::ledger::{job_key, live_key, withdrawn_key, Verdict};
+use crate::core::ledger::{job_key, live_key, Verdict};
 use crate::core::model::{JobSpec, Uid};
 use crate::net::store::{Change, Content, StoreError, Txn};
-use crate::runtime::budget::Rank;
 use crate::runtime::duties::verdict_name;
 use crate::runtime::service::Shared;
 use crossbeam::channel::{bounded, Receiver, Sender, TrySendError};
@@ -294,6 +294,8 @@
     (problem(503, "the rate is used up"), Some(retry))
 }
 
+pub(super) const STORE_CALL: Duration = USER_CALL;
+
 pub(super) fn store_said<T>(shared: &Shared, r: &Result<T, StoreError>) {
     match r {
         // Out of the rate is no sign of the state service's health.
@@ -341,7 +343,7 @@
     found
 }
 
-fn known(shared: &Shared, uid: &Uid, otherwise: Answer) -> Result<Answer, StoreError> {
+pub(super) fn known(shared: &Shared, uid: &Uid, otherwise: Answer) -> Result<Answer, StoreError> {
     Ok(match verdict(shared, uid)? {
         Some((v, _)) => ((200, state(shared, uid, v, false)), None),
         None => otherwise,
@@ -366,38 +368,98 @@
     })
 }
 
-fn submit(shared: &Shared, body: &[u8]) -> Result<Answer, StoreError> {
+enum Admitted {
+    Answered(Answer),
+    /// The job, as it is to be stored, and what must hold then.
+    Fit(Box<JobSpec>, Box<StoredJob>, Vec<(String, u64)>),
+}
+
+/// Everything before a submission's own transaction.
+fn admit(shared: &Shared, body: &[u8]) -> Result<Admitted, StoreError> {
+    let answered = |r: Result<Answer, StoreError>| r.map(Admitted::Answered);
     let spec = match read_submission(body) {
         Ok(s) => s,
         // A job that was accepted stays known, however its repetition is mangled.
-        Err((Some(uid), refusal)) => return known(shared, &uid, (refusal, None)),
-        Err((None, refusal)) => return Ok((refusal, None)),
+        Err((Some(uid), refusal)) => return answered(known(shared, &uid, (refusal, None))),
+        Err((None, refusal)) => return Ok(Admitted::Answered((refusal, None))),
     };
     let uid = spec.uid.clone();
     let types = shared.view.read().types.clone();
     if types.is_empty() {
         let wait = (problem(503, "machine types are not known yet"), Some(1));
-        return known(shared, &uid, wait);
+        return answered(known(shared, &uid, wait));
     }
     if let Err(why) = admission::check(&spec, &shared.settings.params.teams, &types) {
-        return known(shared, &uid, (problem(422, &why.to_string()), None));
+        return answered(known(shared, &uid, (problem(422, &why.to_string()), None)));
     }
-    let stored = StoredJob::from(&spec);
+    let mut stored = StoredJob::from(&spec);
     let room = shared.settings.params.value_bytes;
     if let Err(why) = admission::fits_a_value(stored.size_bound(), room) {
-        return known(shared, &uid, (problem(422, &why.to_string()), None));
+        return answered(known(shared, &uid, (problem(422, &why.to_string()), None)));
     }
     if shared.view.final_answer(&uid).is_some() {
-        return known(shared, &uid, unavailable(shared));
+        return answered(known(shared, &uid, unavailable(shared)));
     }
     if shared.view.read().live_jobs >= shared.settings.params.tuning.max_live_jobs {
-        return known(shared, &uid, (problem(429, "too many jobs"), Some(10)));
+        return answered(known(
+            shared,
+            &uid,
+            (problem(429, "too many jobs"), Some(10)),
+        ));
     }
     if !shared.view.store_ok(Instant::now()) {
         return Err(StoreError::Unavailable);
     }
+    let mut conditions = vec![(job_key(&uid), 0), (live_key(&uid), 0)];
+    if !spec.needs.is_empty() {
+        if shared.view.is_accepted(&uid) {
+            return answered(known(shared, &uid, unavailable(shared)));
+        }
+        match pipelines::enter(shared, &uid, &spec.needs)? {
+            Entered::Open(open) => {
+                stored.keep_needs(&open);
+                // Found over meanwhile, the job is looked at anew.
+                let most = shared.settings.params.txn_ops * 4 - conditions.len();
+                conditions.extend(open.iter().take(most).map(|u| (job_key(u), 0)));
+            }
+            Entered::Withdrawn => return answered(pipelines::accept_withdrawn(shared, &uid)),
+            Entered::Never(need) => {
+                let why = format!("Awaits names {need}, which was never accepted");
+                return answered(known(shared, &uid, (problem(422, &why), None)));
+            }
+            Entered::Crowded(need) => {
+                let why =
+                    format!("as many jobs as fit into a value of the state service await {need}");
+                return answered(known(shared, &uid, (problem(422, &why), None)));
+            }
+            Entered::Moving => return answered(known(shared, &uid, unavailable(shared))),
+        }
+    }
+    Ok(Admitted::Fit(Box::new(spec), Box::new(stored), conditions))
+}
+
+/// How often a submission is looked at anew because what it needs ended meanwhile.
+const SUBMIT_TRIES: usize = 3;
+
+fn submit(shared: &Shared, body: &[u8]) -> Result<Answer, StoreError> {
+    let mut tries = SUBMIT_TRIES;
+    loop {
+        tries -= 1;
+        if let Some(answer) = try_submit(shared, body, tries == 0)? {
+            return Ok(answer);
+        }
+    }
+}
+
+/// None: what it needs has changed, unless this is the last try.
+fn try_submit(shared: &Shared, body: &[u8], last: bool) -> Result<Option<Answer>, StoreError> {
+    let (spec, stored, conditions) = match admit(shared, body)? {
+        Admitted::Answered(answer) => return Ok(Some(answer)),
+        Admitted::Fit(spec, stored, conditions) => (*spec, *stored, conditions),
+    };
+    let uid = spec.uid.clone();
     let live = live_key(&uid);
-    let conditions = [(job_key(&uid), 0), (live.clone(), 0)];
+    let own = [job_key(&uid), live.clone()];
     let changes = vec![Change::Put {
         key: &live,
         value: Content::Job(Box::new(stored)),
@@ -419,11 +481,18 @@
                 spec.expected.as_secs_f64(),
                 spec.due.unwrap_or_default().as_secs_f64()
             );
-            Ok(((201, state(shared, &uid, Verdict::Live, false)), None))
+            let body = state(shared, &uid, Verdict::Live, false);
+            Ok(Some(((201, body), None)))
+        }
+        // Only what it needs has changed.
+        Ok(Txn::Failed { keys })
+            if !last && !spec.needs.is_empty() && !keys.iter().any(|k| own.contains(k)) =>
+        {
+            Ok(None)
         }
         // Known already, or accepted by a transaction whose answer was lost: the keys tell.
         Ok(Txn::Failed { .. }) | Err(StoreError::Unknown) => {
-            known(shared, &uid, unavailable(shared))
+            known(shared, &uid, unavailable(shared)).map(Some)
         }
         Err(e) => Err(e),
     }
@@ -446,22 +515,7 @@
             }
             None => return Ok((problem(404, "no such job"), None)),
         };
-        let (job, mark) = (job_key(&uid), withdrawn_key(&uid));
-        let changes = vec![
-            Change::Put {
-                key: &job,
-                value: Content::Verdict(Verdict::Withdrawn.into()),
-                permit: None,
-            },
-            Change::Put {
-                key: &mark,
-                value: Content::Number(1),
-                permit: None,
-            },
-        ];
-        let result = shared
-            .store
-            .txn(&[(job.clone(), stamp)], changes, Rank::User, USER_CALL);
+        let result = pipelines::withdraw(shared, &uid, stamp);
         store_said(shared, &result);
         match result {
             Ok(Txn::Applied { .. }) => {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -6,6 +6,7 @@
 pub mod http;
 pub mod listen;
 pub mod peer;
+pub mod pipelines;
 pub mod questions;
 pub mod store;
 pub mod wire;
--- a/src/net/peer.rs
+++ b/src/net/peer.rs
@@ -66,12 +66,22 @@
 /// there, and earlier versions send and heed none in answers.
 pub const FRAMES: u32 = 2;
 const FRAMES_WORD: &str = "frames ";
+const FALLEN_WORD: &str = "next rates";
 /// From this version on peers know withdrawals' frames.
 pub const FRAMES_WITHDRAWALS: u32 = 2;
 
-/// What the answer to a hello says of the frames that its sender knows.
-pub fn frames_said() -> Vec<String> {
-    vec![format!("{FRAMES_WORD}{FRAMES}")]
+/// What the answer to a hello says of the frames that its sender knows, and whether it found the state
+/// service's next rates to hold.
+pub fn said(fallen: bool) -> Vec<String> {
+    let mut out = vec![format!("{FRAMES_WORD}{FRAMES}")];
+    if fallen {
+        out.push(FALLEN_WORD.to_owned());
+    }
+    out
+}
+
+pub fn fallen_heard(over: &[String]) -> bool {
+    over.iter().any(|o| o == FALLEN_WORD)
 }
 
 /// 1 is the version that says nothing.
--- a/src/net/store.rs
+++ b/src/net/store.rs
@@ -75,6 +75,7 @@
     History(StoredHistory),
     Job(Box<wire::StoredJob>),
     Leader(wire::StoredLeader),
+    Dependents(wire::StoredDependents),
     Number(u64),
     Types(wire::WireTypes),
 }
@@ -178,10 +179,22 @@
 pub struct Budgets {
     users: (Bucket, Bucket),
     leader: (Bucket, Bucket),
-    changes: f64,
+    /// Of the deployment: requests and changes a second, and those that may hold later.
+    rates: (f64, f64),
+    next: Option<(f64, f64)>,
+    nodes: f64,
+    /// Refusals by the service itself of late, and whether its next rates hold.
+    refusals: Mutex<Refusals>,
     wanted: Mutex<Wanted>,
 }
 
+#[derive(Default)]
+struct Refusals {
+    count: u32,
+    since: Option<Instant>,
+    fallen: bool,
+}
+
 /// Changes asked for since the last look, and what was asked for a second before that.
 struct Wanted {
     users: usize,
@@ -194,6 +207,9 @@
 const LEADER_REQUESTS: f64 = 0.4;
 /// Bursts of one second's worth are allowed; a little less allows for the clocks.
 const BURST_S: f64 = 0.9;
+/// So many refusals within this time show that the service's next rates hold.
+const REFUSALS_TELL: u32 = 3;
+const REFUSALS_WITHIN: Duration = Duration::from_secs(10);
 /// Of the changes a second that the service takes, these are shared out.
 const SHARED_OUT: f64 = 0.97;
 /// The part of a node's requests that questions leave to submissions and withdrawals.
@@ -222,7 +238,10 @@
                 bucket(rps * LEADER_REQUESTS),
                 bucket(write_rps * LEADER_CHANGES),
             ),
-            changes: write_rps * SHARED_OUT,
+            rates: (rps, write_rps),
+            next: None,
+            nodes,
+            refusals: Mutex::default(),
             wanted: Mutex::new(Wanted {
                 users: 0,
                 leader: 0,
@@ -232,6 +251,65 @@
         }
     }
 
+    /// The rates that the service may come to allow, without notice.
+    pub fn with_next(mut self, next: Option<(f64, f64)>) -> Budgets {
+        self.next = next;
+        self
+    }
+
+    /// Requests and changes a second that hold now.
+    fn rates(&self) -> (f64, f64) {
+        match self.next {
+            Some(next) if self.fallen() => next,
+            _ => self.rates,
+        }
+    }
+
+    fn refusals(&self) -> MutexGuard<'_, Refusals> {
+        self.refusals.lock().unwrap_or_else(|e| e.into_inner())
+    }
+
+    /// Whether the service's next rates hold.
+    pub fn fallen(&self) -> bool {
+        self.refusals().fallen
+    }
+
+    /// The service refused a call for its rate. That happens now and then by chance; several times in
+    /// a short while, with lower rates announced, they hold.
+    pub fn refused(&self, now: Instant) {
+        if self.next.is_none() {
+            return;
+        }
+        let mut r = self.refusals();
+        let fresh = |t: Instant| now.saturating_duration_since(t) < REFUSALS_WITHIN;
+        if !r.since.is_some_and(fresh) {
+            (r.count, r.since) = (0, Some(now));
+        }
+        r.count += 1;
+        let fall = r.count >= REFUSALS_TELL && !r.fallen;
+        drop(r);
+        if fall {
+            self.fall(now);
+        }
+    }
+
+    /// From now on the next rates hold, as refusals or a peer showed. They stay.
+    pub fn fall(&self, now: Instant) {
+        let Some((rps, changes)) = self.next else {
+            return;
+        };
+        if std::mem::replace(&mut self.refusals().fallen, true) {
+            return;
+        }
+        log::info!("the state service's next rates hold rps={rps} changes={changes}");
+        let users = 1.0 - LEADER_REQUESTS;
+        self.users.0.set_rate(rps * users / self.nodes, now);
+        self.leader.0.set_rate(rps * LEADER_REQUESTS, now);
+        let users = 1.0 - LEADER_CHANGES;
+        self.users.1.set_rate(changes * users / self.nodes, now);
+        self.leader.1.set_rate(changes * LEADER_CHANGES, now);
+    }
+
     fn wanted(&self) -> MutexGuard<'_, Wanted> {
         self.wanted.lock().unwrap_or_else(|e| e.into_inner())
     }
@@ -243,6 +321,7 @@
 
     /// Sets the rates of changes by what all nodes ask for; now and then.
     pub fn share_out(&self, peers: &[Option<Demand>], now: Instant) {
+        let changes = self.rates().1 * SHARED_OUT;
         let mut w = self.wanted();
         let passed = now.saturating_duration_since(w.since).as_secs_f64();
         if passed < 0.2 {
@@ -252,11 +331,11 @@
         let fresh = (passed / 2.0).clamp(0.5, 1.0);
         let mean = |old: f64, n: usize| old + (n as f64 / passed - old) * fresh;
         w.demand = Demand {
-            users: mean(w.demand.users, w.users).min(self.changes),
-            leader: mean(w.demand.leader, w.leader).min(self.changes),
+            users: mean(w.demand.users, w.users).min(changes),
+            leader: mean(w.demand.leader, w.leader).min(changes),
         };
         (w.users, w.leader, w.since) = (0, 0, now);
-        let (users, leader) = shares(self.changes, w.demand, peers);
+        let (users, leader) = shares(changes, w.demand, peers);
         drop(w);
         self.users.1.set_rate(users, now);
         self.leader.1.set_rate(leader, now);
@@ -303,17 +382,20 @@
     }
 }
 
-fn sent(r: Result<Answer, CallError>) -> Result<Answer, StoreError> {
-    match r {
-        Ok(a) if a.status == 429 => Err(StoreError::Spent),
-        Ok(a) if a.status == 503 => Err(StoreError::Unavailable),
-        Ok(a) => Ok(a),
-        Err(CallError::NotSent) => Err(StoreError::Unavailable),
-        Err(CallError::NoAnswer) => Err(StoreError::Unknown),
+impl Store {
+    fn sent(&self, r: Result<Answer, CallError>) -> Result<Answer, StoreError> {
+        match r {
+            Ok(a) if a.status == 429 => {
+                self.budgets.refused(Instant::now());
+                Err(StoreError::Spent)
+            }
+            Ok(a) if a.status == 503 => Err(StoreError::Unavailable),
+            Ok(a) => Ok(a),
+            Err(CallError::NotSent) => Err(StoreError::Unavailable),
+            Err(CallError::NoAnswer) => Err(StoreError::Unknown),
+        }
     }
-}
 
-impl Store {
     pub fn new(client: Client, budgets: Budgets) -> Store {
         Store {
             client,
@@ -352,7 +434,7 @@
         key: &str,
         limit: Duration,
     ) -> Result<Option<Entry<T>>, StoreError> {
-        let a = sent(
+        let a = self.sent(
             self.client
                 .call("GET", &format!("/store/{key}"), NONE, limit),
         )?;
@@ -425,7 +507,7 @@
         if let Some(last) = from {
             path.push_str(&format!("&From={last}"));
         }
-        let a = sent(self.client.call("GET", &path, NONE, limit))?;
+        let a = self.sent(self.client.call("GET", &path, NONE, limit))?;
         if a.status != 200 {
             return Err(StoreError::Unavailable);
         }
@@ -474,7 +556,7 @@
                 .collect(),
             apply: changes,
         };
-        let a = sent(self.client.call("POST", "/txn", Some(&request), limit))?;
+        let a = self.sent(self.client.call("POST", "/txn", Some(&request), limit))?;
         match a.status {
             200 => {
                 let t: TxnAnswer = a.decode().ok_or(StoreError::Unknown)?;
@@ -518,7 +600,7 @@
         let body = Life {
             life_ms: life.as_millis() as u64,
         };
-        let a = sent(self.client.call("POST", "/leases", Some(&body), limit))?;
+        let a = self.sent(self.client.call("POST", "/leases", Some(&body), limit))?;
         match a.status {
             200 | 201 => a
                 .decode::<Permit>()
@@ -531,7 +613,7 @@
     pub fn extend(&self, permit: u64, limit: Duration) -> Result<(), StoreError> {
         self.leave(Rank::Leader, 0)?;
         let path = format!("/leases/{permit}/extend");
-        let a = sent(self.client.call("POST", &path, NONE, limit))?;
+        let a = self.sent(self.client.call("POST", &path, NONE, limit))?;
         match a.status {
             200 => Ok(()),
             404 => Err(StoreError::NoLease),
@@ -541,7 +623,7 @@
 
     pub fn drop_lease(&self, permit: u64, limit: Duration) -> Result<(), StoreError> {
         self.leave(Rank::Leader, 0)?;
-        sent(
+        self.sent(
             self.client
                 .call("DELETE", &format!("/leases/{permit}"), NONE, limit),
         )
@@ -560,7 +642,7 @@
             block.as_millis()
         );
         let limit = block + Duration::from_secs(3);
-        let a = sent(self.client.call("GET", &path, NONE, limit))?;
+        let a = self.sent(self.client.call("GET", &path, NONE, limit))?;
         match a.status {
             200 => a.decode().ok_or(StoreError::Unavailable),
             410 => Err(StoreError::TooOld),
@@ -598,6 +680,8 @@
     stop: &'a Stop,
     rank: Rank,
     until: Instant,
+    /// For a submission or a withdrawal, to which questions leave a part of the rate.
+    change: bool,
     /// The first call's part of the rate has been taken already.
     paid: Cell<bool>,
 }
@@ -609,15 +693,30 @@
             stop,
             rank,
             until,
+            change: false,
             paid: Cell::new(false),
         }
     }
 
+    /// What a submission or a withdrawal has to ask.
+    pub fn for_change(store: &'a Store, stop: &'a Stop, until: Instant) -> Asked<'a> {
+        Asked {
+            change: true,
+            ..Asked::new(store, stop, Rank::User, until)
+        }
+    }
+
+    pub fn value<T: DeserializeOwned>(&self, key: &str) -> Result<Option<Entry<T>>, StoreError> {
+        self.charge()?;
+        self.store.read(key, self.limit())
+    }
+
     /// Waits a little for the rate, ahead of the first call: what comes meanwhile can go with it.
     pub fn admit(&self) -> bool {
         while !self.paid.get() {
             let now = Instant::now();
             let left = match self.rank {
+                Rank::User if self.change => self.store.budgets.leave(Rank::User, 0, now),
                 Rank::User => self.store.budgets.question(now),
                 Rank::Leader => self.store.budgets.leave(Rank::Leader, 0, now),
             };
@@ -660,7 +759,7 @@
         self.charge()?;
         let path = format!("/store?Under={VERDICT_PREFIX}&From={from}&Most={PAGE}");
         let call = self.store.client.call("GET", &path, NONE, self.limit());
-        let a = sent(call)?;
+        let a = self.store.sent(call)?;
         if a.status != 200 {
             return Err(StoreError::Unavailable);
         }
--- a/src/net/wire.rs
+++ b/src/net/wire.rs
@@ -5,6 +5,7 @@
 use crate::core::model::*;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 /// The limit for bodies. It is stated for the text form, which is never shorter.
@@ -47,6 +48,7 @@
     pub snapshot_every_s: Option<f64>,
     pub snapshot_s: Option<f64>,
     pub due_s: Option<f64>,
+    pub awaits: Option<Vec<String>>,
 }
 
 /// Only the id, for a submission that is otherwise malformed.
@@ -107,6 +109,13 @@
             None => None,
             some => Some(Duration::from_secs_f64(amount(some, "DueS")?)),
         };
+        // Named twice counts once.
+        let needs: Option<BTreeSet<Uid>> = self
+            .awaits
+            .iter()
+            .flatten()
+            .map(|u| Uid::parse(u))
+            .collect();
         let seconds = |v, name| amount(v, name).map(Duration::from_secs_f64);
         Ok(JobSpec {
             uid,
@@ -131,6 +140,7 @@
             snapshot_every: seconds(self.snapshot_every_s, "SnapshotEveryS")?,
             snapshot: seconds(self.snapshot_s, "SnapshotS")?,
             due,
+            needs: needs.ok_or("Awaits")?.into_iter().collect(),
             accepted_ms,
         })
     }
@@ -157,6 +167,10 @@
     save: f64,
     due: Option<f64>,
     at: u64,
+    /// Jobs that it needs and that were not over when it was accepted. Earlier versions know no such
+    /// field, and jobs without it are written as they were.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    needs: Vec<String>,
 }
 
 impl From<&JobSpec> for StoredJob {
@@ -183,6 +197,7 @@
             save: s.snapshot.as_secs_f64(),
             due: s.due.map(|d| d.as_secs_f64()),
             at: s.accepted_ms,
+            needs: s.needs.iter().map(|n| n.0.clone()).collect(),
         }
     }
 }
@@ -210,7 +225,8 @@
             .chain(&self.site)
             .map(|t| text_bound(t))
             .sum();
-        FIELDS + types + texts
+        let needs: usize = self.needs.iter().map(|n| text_bound(n)).sum();
+        FIELDS + types + texts + needs
     }
 }
 
@@ -219,6 +235,15 @@
 }
 
 impl StoredJob {
+    /// Leaves only these of the jobs that it needs: the others are done.
+    pub fn keep_needs(&mut self, open: &[Uid]) {
+        self.needs = open.iter().map(|u| u.0.clone()).collect();
+    }
+
+    pub fn needs(&self) -> &[String] {
+        &self.needs
+    }
+
     pub fn into_spec(self) -> Option<JobSpec> {
         Some(JobSpec {
             uid: Uid::parse(&self.uid)?,
@@ -252,6 +277,7 @@
             snapshot_every: duration(self.every)?,
             snapshot: duration(self.save)?,
             due: self.due.and_then(duration),
+            needs: self.needs.iter().filter_map(|n| Uid::parse(n)).collect(),
             accepted_ms: self.at,
         })
     }
@@ -317,6 +343,19 @@
     }
 }
 
+/// `d/<uid>`: jobs that need this one.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+pub struct StoredDependents {
+    pub by: Vec<String>,
+}
+
+impl StoredDependents {
+    /// At most what it takes as a value of the state service.
+    pub fn size_bound(&self) -> usize {
+        16 + self.by.iter().map(|u| text_bound(u)).sum::<usize>()
+    }
+}
+
 /// `ctl/leader`.
 #[derive(Debug, Serialize, Deserialize)]
 pub struct StoredLeader {
--- a/src/runtime/duties.rs
+++ b/src/runtime/duties.rs
@@ -31,6 +31,8 @@
     Returned(Term, Vec<HostId>, bool),
     Listed(Term, Vec<Listed>),
     Types(Vec<HostType>),
+    /// How jobs ended that others need and that were not known.
+    Ended(Term, Vec<(Uid, Verdict)>),
     /// All withdrawals that the state service held when it was asked have gone before this.
     Read(Term, Moment),
     /// Jobs that a peer knows to be withdrawn, and what that covers; from users, it covers nothing.
@@ -153,6 +155,10 @@
         if ticking && now >= next_publish {
             next_publish = now + PUBLISH_EVERY;
             publish(shared, c, &mut published);
+            let unresolved = c.unresolved();
+            if !unresolved.is_empty() || !shared.view.read().unresolved.is_empty() {
+                shared.view.write().unresolved = unresolved;
+            }
         }
         if now >= next_metrics {
             next_metrics = now + shared.settings.operations.metrics_every;
@@ -208,6 +214,11 @@
         }
         Event::Job(t, spec, stamp) if t == term => c.on_job(*spec, stamp),
         Event::Withdrawn(t, uid) if t == term => c.on_withdrawn(now, &uid),
+        Event::Ended(t, ends) if t == term => {
+            for (uid, verdict) in ends {
+                c.ended_before(now, &uid, verdict);
+            }
+        }
         Event::Read(t, asked) if t == term => c.withdrawals_read(asked),
         Event::Told(t, uids, covers) if t == term => {
             for uid in &uids {
@@ -374,6 +385,7 @@
     let (patience, _) = watermark::patience(params.lease, params.cancel);
     let block = WATCH_BLOCK.min(patience / 3);
     while !stop.stopped() {
+        resolve(shared, term, stop);
         let asked = Moment::now();
         match shared
             .store
@@ -413,6 +425,19 @@
     }
 }
 
+/// Asks how jobs ended that others need and of which the leader knows nothing: they ended while the
+/// acceptance of those others was under way.
+fn resolve(shared: &Shared, term: Term, stop: &Stop) {
+    let unresolved = shared.view.read().unresolved.clone();
+    if unresolved.is_empty() {
+        return;
+    }
+    if let Ok(found) = super::elector::standings_of(shared, &unresolved, stop) {
+        let ends = found.into_iter().filter_map(|(u, s)| Some((u, s?)));
+        let _ = shared.events.send(Event::Ended(term, ends.collect()));
+    }
+}
+
 fn take_queued(shared: &Shared, term: Term, key: &str, value: Option<Queued>, stamp: u64) {
     let event = if let Some(uid) = key.strip_prefix(ledger::WITHDRAWN_PREFIX) {
         Uid::parse(uid).map(|u| Event::Withdrawn(term, u))
--- a/src/runtime/elector.rs
+++ b/src/runtime/elector.rs
@@ -19,7 +19,7 @@
 use rand::Rng;
 use serde::de::{DeserializeOwned, IgnoredAny};
 use serde::Deserialize;
-use std::collections::{BTreeSet, HashSet};
+use std::collections::{BTreeSet, HashMap, HashSet};
 use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime};
 
@@ -351,7 +351,46 @@
     let prefix = ledger::LIVE_PREFIX;
     let uids = live.iter().filter_map(|p| p.path.strip_prefix(prefix));
     let uids: Vec<Uid> = uids.filter_map(Uid::parse).collect();
-    let mut over = HashSet::new();
+    let found = standings_of(shared, &uids, stop)?;
+    let ended = |s: &Standing| matches!(s, Some(Verdict::Done));
+    Ok(found
+        .into_iter()
+        .filter(|(_, s)| ended(s))
+        .map(|f| f.0)
+        .collect())
+}
+
+/// How those ended that live jobs need and that are not live themselves.
+fn ends_of_needed(
+    shared: &Shared,
+    live: &[Pair<StoredJob>],
+    stop: &Stop,
+) -> Result<Vec<(Uid, Verdict)>, StoreError> {
+    let prefix = ledger::LIVE_PREFIX;
+    let known: HashSet<&str> = live
+        .iter()
+        .filter_map(|p| p.path.strip_prefix(prefix))
+        .collect();
+    let needed = live.iter().flat_map(|p| p.value.needs());
+    let needed: BTreeSet<Uid> = needed
+        .filter(|n| !known.contains(n.as_str()))
+        .filter_map(|n| Uid::parse(n))
+        .collect();
+    let needed: Vec<Uid> = needed.into_iter().collect();
+    let found = standings_of(shared, &needed, stop)?;
+    Ok(found
+        .into_iter()
+        .filter_map(|(u, s)| Some((u, s?)))
+        .collect())
+}
+
+/// How accepted jobs stand.
+pub(super) fn standings_of(
+    shared: &Shared,
+    uids: &[Uid],
+    stop: &Stop,
+) -> Result<HashMap<Uid, Standing>, StoreError> {
+    let mut all = HashMap::new();
     let until = Instant::now() + Duration::from_secs(20);
     for part in uids.chunks(questions::most_at_once(shared)) {
         let mut left: BTreeSet<Uid> = part.iter().cloned().collect();
@@ -361,8 +400,7 @@
             let asked = Asked::new(&shared.store, stop, Rank::Leader, patience);
             let (found, trouble) = inquiry::standings(&asked, &left, &mut accepted);
             left.retain(|u| !found.contains_key(u));
-            let ended = |s: &Standing| matches!(s, Some(Verdict::Done));
-            over.extend(found.into_iter().filter(|(_, s)| ended(s)).map(|f| f.0));
+            all.extend(found);
             match trouble {
                 None => break,
                 Some(e) if Instant::now() + LOAD_PAUSE >= until || stop.wait(LOAD_PAUSE) => {
@@ -372,7 +410,7 @@
             }
         }
     }
-    Ok(over)
+    Ok(all)
 }
 
 fn read_all<T: DeserializeOwned>(
@@ -414,9 +452,16 @@
     }
     let (jobs, chunks) = (live.len(), intents.len());
     let over = over_already(shared, &live, stop)?;
+    let ends = ends_of_needed(shared, &live, stop)?;
+    for (uid, verdict) in ends {
+        c.ended_before(now, &uid, verdict);
+    }
     for p in live {
         match p.value.into_spec() {
-            Some(spec) if over.contains(&spec.uid) => c.forget_index(&spec.uid),
+            Some(spec) if over.contains(&spec.uid) => {
+                c.ended_before(now, &spec.uid, Verdict::Done);
+                c.forget_index(&spec.uid);
+            }
             Some(spec) => c.on_job(spec, p.stamp),
             None => {}
         }
--- a/src/runtime/peering.rs
+++ b/src/runtime/peering.rs
@@ -142,6 +142,9 @@
             Ok(Reply::Hello(h)) => {
                 heard_hello(shared, &h);
                 peer.said_frames(peer::frames_heard(&h.over));
+                if peer::fallen_heard(&h.over) {
+                    shared.store.budgets().fall(Instant::now());
+                }
                 for (uid, d, r) in progress {
                     told.insert(Uid(uid), (d, r));
                 }
@@ -256,7 +259,11 @@
                         i.progress.remove(&Uid(uid));
                     }
                 }
-                Reply::Hello(hello(shared, Vec::new(), peer::frames_said()))
+                Reply::Hello(hello(
+                    shared,
+                    Vec::new(),
+                    peer::said(shared.store.budgets().fallen()),
+                ))
             }
             Ask::Beats(bodies) => {
                 let until = Instant::now() + AWAITED_RELAYED;
--- a/src/runtime/service.rs
+++ b/src/runtime/service.rs
@@ -319,6 +319,7 @@
         let peer_listener = TcpListener::bind(settings.peer_bind)?;
         let (rps, write_rps) = (settings.state_rps, settings.state_write_rps);
         let budgets = Budgets::new(rps, write_rps, settings.nodes, now);
+        let budgets = budgets.with_next(settings.state_next);
         let connect = Duration::from_millis(800);
         let meters = Meters::default();
         // One for each thread that asks for a user, and for the leader's own duties.
--- a/src/runtime/view.rs
+++ b/src/runtime/view.rs
@@ -44,6 +44,8 @@
     peers: HashMap<String, PeerWord>,
     withdrawals: Withdrawals,
     pub live_jobs: usize,
+    /// Jobs that others need and of which the leader knows nothing.
+    pub unresolved: Vec<Uid>,
 }
 
 /// Withdrawals that this life of the node knows of and may confirm, in the order in which it learned
@@ -124,6 +126,7 @@
                     kept: VecDeque::new(),
                 },
                 live_jobs: 0,
+                unresolved: Vec::new(),
             }),
         }
     }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -76,6 +76,8 @@
 /// A verdict takes two changes of the leader's part, an acceptance two of a node's.
 const LEAST_WRITE_RPS: f64 = 6.0;
 /// A job, or 64 tasks' intents, fit into one value.
+/// Values may become this small: a chunk of intents fits.
+const LEAST_NEXT_KB: f64 = 2.0;
 const LEAST_VALUE_KB: f64 = 6.0;
 const LEAST_CLOUD_RPS: f64 = 0.1;
 /// Clocks further apart would tell jobs' ages wrongly by more than any aim allows.
@@ -116,6 +118,8 @@
     pub params: Params,
     pub state_rps: f64,
     pub state_write_rps: f64,
+    /// Requests and changes a second that the state service may come to allow.
+    pub state_next: Option<(f64, f64)>,
     pub cloud_rps: f64,
     pub quota: Quota,
     pub operations: Operations,
@@ -194,6 +198,16 @@
     write_rps: f64,
     value_kb: f64,
     txn_ops: usize,
+    next: Option<StateNext>,
+}
+
+/// The limits that the state service will have from some moment on. What is absent stays.
+#[derive(Deserialize)]
+struct StateNext {
+    rps: Option<f64>,
+    write_rps: Option<f64>,
+    value_kb: Option<f64>,
+    txn_ops: Option<usize>,
 }
 
 #[derive(Deserialize)]
@@ -294,6 +308,27 @@
         )?;
         least("deployment.state.value_kb", state.value_kb, LEAST_VALUE_KB)?;
         least("deployment.cloud.rps", cloud.rps, LEAST_CLOUD_RPS)?;
+        // Sizes keep to the smaller of both sets from the start; rates fall when refusals show that the
+        // next ones hold.
+        let mut sizes = (state.value_kb, state.txn_ops);
+        let mut next_rates = None;
+        if let Some(n) = &state.next {
+            let (rps, writes) = (
+                n.rps.unwrap_or(state.rps),
+                n.write_rps.unwrap_or(state.write_rps),
+            );
+            least("deployment.state.next.rps", rps, LEAST_RPS)?;
+            least("deployment.state.next.write_rps", writes, LEAST_WRITE_RPS)?;
+            positive("deployment.state.next.rps", rps, 1e9)?;
+            positive("deployment.state.next.write_rps", writes, 1e9)?;
+            let value_kb = n.value_kb.unwrap_or(state.value_kb);
+            least("deployment.state.next.value_kb", value_kb, LEAST_NEXT_KB)?;
+            positive("deployment.state.next.value_kb", value_kb, 1e6)?;
+            let ops = n.txn_ops.unwrap_or(state.txn_ops);
+            least("deployment.state.next.txn_ops", ops as f64, 4.0)?;
+            sizes = (sizes.0.min(value_kb), sizes.1.min(ops));
+            next_rates = Some((rps.min(state.rps), writes.min(state.write_rps)));
+        }
         let mut teams = Vec::new();
         for t in &d.teams {
             let amount = |field: &str, x: f64| {
@@ -351,6 +386,7 @@
             skew: Duration::from_secs_f64(d.skew_ms / 1000.0),
             state_rps: positive("deployment.state.rps", d.state.rps, 1e9)?,
             state_write_rps: positive("deployment.state.write_rps", d.state.write_rps, 1e9)?,
+            state_next: next_rates,
             cloud_rps: positive("deployment.cloud.rps", d.cloud.rps, 1e9)?,
             quota: Quota {
                 sockets: d.quota.max_sockets,
@@ -364,9 +400,9 @@
                 gang_wait: seconds("deployment.workers.gang_wait_s", w.gang_wait_s)?,
                 gang_peer: seconds("deployment.workers.gang_peer_s", w.gang_peer_s)?,
                 cancel: seconds("deployment.workers.cancel_s", w.cancel_s)?,
-                txn_ops: d.state.txn_ops,
-                value_bytes: (positive("deployment.state.value_kb", d.state.value_kb, 1e6)?
-                    * 1024.0) as usize,
+                txn_ops: sizes.1,
+                value_bytes: (positive("deployment.state.value_kb", sizes.0, 1e6)? * 1024.0)
+                    as usize,
                 list_lag: seconds("deployment.cloud.list_lag_s", d.cloud.list_lag_s)?,
                 tuning: Tuning::default(),
             },
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -89,6 +89,7 @@
         snapshot_every: secs(20),
         snapshot: secs(4),
         due: None,
+        needs: Vec::new(),
         accepted_ms: 0,
     }
 }
--- a/tests/end_to_end.rs
+++ b/tests/end_to_end.rs
@@ -642,3 +642,92 @@
         n.stop();
     }
 }
+
+fn awaiting(uid: &str, needs: &[&str]) -> Any {
+    let mut s = submission(uid, 1);
+    if let Any::Map(m) = &mut s {
+        let needs = needs.iter().map(|n| t(n)).collect();
+        m.insert("Awaits".to_owned(), Any::List(needs));
+    }
+    s
+}
+
+/// A chain over whole nodes: order, refusals, repetitions, and withdrawals that take what is behind.
+#[test]
+fn pipelines_run_in_order_and_are_withdrawn_together() {
+    let site = Site::new(2);
+    let nodes = [site.start(0), site.start(1)];
+    let worker = Worker::start("i-1", Duration::from_millis(300), site.names.clone());
+    let [a, b] = [site.names[0].1, site.names[1].1];
+    until("one leads", || nodes.iter().find_map(leads));
+    submit(a, "wk-000200", 1);
+    let post = |node, uid: &str, needs: &[&str]| {
+        let body = awaiting(uid, needs);
+        until("answered", || {
+            let (status, _) = call("POST", node, "/api/jobs", Some(&body));
+            (status != 503).then_some(status)
+        })
+    };
+    // Refused, and unknown afterwards.
+    let odd = awaiting("wk-000201", &["wk-000200", "two"]);
+    assert_eq!(call("POST", a, "/api/jobs", Some(&odd)).0, 400);
+    for needs in [&["wk-000999"][..], &["wk-000200", "wk-000201"]] {
+        assert_eq!(post(b, "wk-000201", needs), 422, "{needs:?}");
+        assert_eq!(call("GET", a, "/api/jobs/wk-000201", None).0, 404);
+    }
+    // A chain of three, its links at different nodes; one is named twice.
+    assert_eq!(post(b, "wk-000201", &["wk-000200", "wk-000200"]), 201);
+    assert_eq!(post(a, "wk-000202", &["wk-000201", "wk-000200"]), 201);
+    assert_eq!(post(b, "wk-000202", &["wk-000999"]), 200, "known already");
+    until("the chain is done", || {
+        (phase(a, "wk-000202")? == "done").then_some(())
+    });
+    let order: Vec<String> = worker.starts().into_iter().map(|s| s.0).collect();
+    assert_eq!(order, ["wk-000200/0", "wk-000201/0", "wk-000202/0"]);
+    // What is needed may be over.
+    assert_eq!(post(a, "wk-000203", &["wk-000200", "wk-000202"]), 201);
+    until("it runs", || {
+        (phase(b, "wk-000203")? == "done").then_some(())
+    });
+    // More dependents than one transaction of a withdrawal holds, some through others.
+    worker.runs_for(Duration::from_secs(600));
+    let blocking: Vec<String> = (300..340).map(|n| format!("wk-{n:06}")).collect();
+    submit(a, &blocking[0], 1);
+    for n in 1..blocking.len() {
+        let needs = [blocking[n / 2].as_str()];
+        let node = if n % 2 == 0 { a } else { b };
+        assert_eq!(post(node, &blocking[n], &needs), 201);
+    }
+    let path = format!("/api/jobs/{}/withdraw", blocking[1]);
+    until("withdrawn", || {
+        (call("POST", b, &path, None).0 == 200).then_some(())
+    });
+    // The confirmation answers for the whole, at every node, though nobody leads any more.
+    for uid in &blocking[1..] {
+        for node in [a, b] {
+            let said = until("told", || phase(node, uid));
+            assert_eq!(said, "withdrawn", "{uid}");
+        }
+    }
+    assert_ne!(phase(a, &blocking[0]).as_deref(), Some("withdrawn"));
+    // Whoever names a withdrawn one is accepted, and withdrawn.
+    assert_eq!(post(a, "wk-000350", &["wk-000200", &blocking[5]]), 201);
+    assert_eq!(phase(b, "wk-000350").as_deref(), Some("withdrawn"));
+    assert_eq!(post(b, "wk-000351", &["wk-000350"]), 201);
+    assert_eq!(phase(a, "wk-000351").as_deref(), Some("withdrawn"));
+    assert_eq!(post(b, "wk-000351", &["wk-000350"]), 200);
+    let started = worker.starts();
+    let behind = |s: &(String, u64)| blocking[1..].iter().any(|u| s.0.starts_with(u.as_str()));
+    assert!(!started.iter().any(behind), "{started:?}");
+    // A withdrawal answered done takes nothing with it.
+    let (_, body) = call("POST", a, "/api/jobs/wk-000200/withdraw", None);
+    assert_eq!(body.text("Phase"), "done");
+    assert_eq!(phase(b, "wk-000203").as_deref(), Some("done"));
+    until("lists and live jobs are cleared", || {
+        let left = site.state.keys("q/w/").len();
+        (left == 0 && site.state.keys("q/l/").len() <= 1).then_some(())
+    });
+    for n in nodes {
+        n.stop();
+    }
+}
--- a/tests/standins/mod.rs
+++ b/tests/standins/mod.rs
@@ -470,7 +470,8 @@
     serial: Arc<AtomicU64>,
     endpoint: String,
     name: &'static str,
-    run: Duration,
+    /// In milliseconds.
+    run: Arc<AtomicU64>,
     /// In milliseconds; 0: it never runs out.
     lease: Arc<AtomicU64>,
 }
@@ -484,7 +485,7 @@
             serial,
             endpoint: String::new(),
             name,
-            run,
+            run: Arc::new(AtomicU64::new(run.as_millis() as u64)),
             lease: Arc::default(),
         };
         let w = worker.clone();
@@ -506,6 +507,11 @@
         self.endpoint.clone()
     }
 
+    /// From now on its tasks run for this long.
+    pub fn runs_for(&self, run: Duration) {
+        self.run.store(run.as_millis() as u64, Ordering::SeqCst);
+    }
+
     /// From now on its tasks end when no answered report was sent for this long.
     pub fn leased(&self, lease: Duration) {
         self.machine.lock().expect("the machine").answered = Some(Instant::now());
@@ -575,8 +581,9 @@
     fn report(&self) -> Any {
         let mut m = self.machine.lock().expect("the machine");
         self.expire(&mut m);
+        let run = Duration::from_millis(self.run.load(Ordering::SeqCst));
         for h in m.tasks.values_mut() {
-            if h.why.is_none() && h.started.elapsed() >= self.run {
+            if h.why.is_none() && h.started.elapsed() >= run {
                 h.why = Some("done");
             }
         }
--- a/tests/versions.rs
+++ b/tests/versions.rs
@@ -3,7 +3,9 @@
 //! The samples are written by hand from the layout of the version that `production` in
 //! `deploy/service.toml` names, not with this version's types.
 
-use cypressgap::net::peer::{frames_heard, frames_said, read_frame, Ask, Hello, Reply, Word};
+use cypressgap::net::peer::{
+    fallen_heard, frames_heard, read_frame, said, Ask, Hello, Reply, Word,
+};
 
 /// Bytes of a `borsh` frame, put together field by field.
 #[derive(Clone, Default)]
@@ -169,10 +171,12 @@
         let over: Vec<String> = over.iter().map(|o| o.to_string()).collect();
         assert_eq!(frames_heard(&over), known, "{over:?}");
     }
-    let said = frames_said();
-    assert!(frames_heard(&said) >= 2);
-    // The production version reads the answer that says so as it stands.
-    let texts: Vec<&str> = said.iter().map(String::as_str).collect();
-    let new = borsh::to_vec(&Reply::Hello(hello(said.clone()))).unwrap();
-    assert_eq!(new, hello_bytes(0, &texts).0);
+    for fallen in [false, true] {
+        let said = said(fallen);
+        assert_eq!((frames_heard(&said), fallen_heard(&said)), (2, fallen));
+        // The production version reads the answer that says so as it stands.
+        let texts: Vec<&str> = said.iter().map(String::as_str).collect();
+        let new = borsh::to_vec(&Reply::Hello(hello(said.clone()))).unwrap();
+        assert_eq!(new, hello_bytes(0, &texts).0);
+    }
 }
