--- a/src/main.rs
+++ b/src/main.rs
@@ -51,6 +51,16 @@
             eprintln!("cypressgap: warning: {warning}");
         }
         println!("settings are valid: member {}", settings.member);
+        let p = &settings.params;
+        println!(
+            "state service: values of {} bytes, {} changes a transaction",
+            p.value_bytes, p.txn_ops
+        );
+        if let Some((rps, changes)) = settings.state_next {
+            println!(
+                "state service, once it refuses more: {rps} requests, {changes} changes a second"
+            );
+        }
         return ExitCode::SUCCESS;
     }
     match Service::start(settings) {
--- a/tests/questions.rs
+++ b/tests/questions.rs
@@ -132,6 +132,47 @@
     }
 }
 
+/// Rates that were announced hold once the service refuses several calls in a short while, and stay. A
+/// refusal now and then, or without an announcement, says nothing.
+#[test]
+fn announced_rates_hold_once_refusals_show_it() {
+    // Seconds between refusals, how many, whether lower rates were announced -> whether they hold.
+    let cases = [
+        (1, 2, true, false),
+        (1, 3, true, true),
+        (6, 9, true, false),
+        (1, 9, false, false),
+    ];
+    for (apart, refusals, announced, holds) in cases {
+        let start = Instant::now();
+        let b = Budgets::new(200.0, 60.0, 3, start);
+        let b = b.with_next(announced.then_some((200.0, 42.0)));
+        for n in 0..refusals {
+            b.refused(start + Duration::from_secs(apart * n));
+        }
+        assert_eq!(b.fallen(), holds, "{apart} {refusals} {announced}");
+        // A minute of calls, as fast as they are let through.
+        let begin = start + Duration::from_secs(100);
+        let mut made = 0;
+        for step in 0..6_000 {
+            let now = begin + Duration::from_millis(step * 10);
+            if step % 50 == 0 {
+                b.share_out(&[None, None], now);
+            }
+            for rank in [Rank::Leader, Rank::User] {
+                made += u32::from(b.leave(rank, 1, now));
+            }
+        }
+        let most = if holds { 42 * 61 } else { 60 * 61 };
+        assert!(made <= most, "{made} changes");
+        assert!(made > most / 2, "{made} changes: most of them are used");
+    }
+    // A peer's word suffices.
+    let b = Budgets::new(200.0, 60.0, 3, Instant::now()).with_next(Some((200.0, 42.0)));
+    b.fall(Instant::now());
+    assert!(b.fallen());
+}
+
 /// Guards against an answer where the state service gave none: what could not be asked is left out.
 #[test]
 fn what_could_not_be_asked_is_not_answered() {
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -64,6 +64,57 @@
     }
 }
 
+/// Limits that the state service will have from some moment on: sizes keep to the smaller of both from
+/// the start, rates to the present ones.
+#[test]
+fn announced_limits_of_the_state_service() {
+    let with = |next: &str| {
+        let text = NODE.replace(
+            "[deployment.cloud]",
+            &format!("[deployment.state.next]\n{next}\n\n[deployment.cloud]"),
+        );
+        Settings::parse("node.toml", &text)
+    };
+    let now = Settings::parse("node.toml", NODE).unwrap();
+    assert_eq!(now.state_next, None);
+    // What is announced -> bytes of a value, changes of a transaction, rates to come.
+    let cases = [
+        (
+            "value_kb = 2.0\ntxn_ops = 16\nwrite_rps = 42.0",
+            2048,
+            16,
+            (200.0, 42.0),
+        ),
+        (
+            "value_kb = 64.0\ntxn_ops = 96",
+            16 * 1024,
+            32,
+            (200.0, 60.0),
+        ),
+        ("rps = 90.0\nwrite_rps = 500.0", 16 * 1024, 32, (90.0, 60.0)),
+    ];
+    for (next, bytes, ops, rates) in cases {
+        let s = with(next).unwrap();
+        assert_eq!(
+            (s.params.value_bytes, s.params.txn_ops),
+            (bytes, ops),
+            "{next}"
+        );
+        assert_eq!(s.state_next, Some(rates), "{next}");
+        assert_eq!((s.state_rps, s.state_write_rps), (200.0, 60.0), "{next}");
+    }
+    for (next, name) in [
+        ("value_kb = 1.0", "next.value_kb"),
+        ("txn_ops = 2", "next.txn_ops"),
+        ("write_rps = 1.0", "next.write_rps"),
+        ("rps = -1.0", "next.rps"),
+        ("value_kb = nan", "next.value_kb"),
+    ] {
+        let error = with(next).unwrap_err().to_string();
+        assert!(error.contains(name), "{next}: {error}");
+    }
+}
+
 /// Guards against buffers and pools that together pass the sockets that a process may have.
 #[test]
 fn sockets_are_shared_out_within_the_quota() {
--- a/tests/versions.rs
+++ b/tests/versions.rs
@@ -6,6 +6,102 @@
 use cypressgap::net::peer::{
     fallen_heard, frames_heard, read_frame, said, Ask, Hello, Reply, Word,
 };
+use cypressgap::net::wire::{
+    decode, encode, StoredChunk, StoredHistory, StoredJob, StoredLeader, StoredVerdict,
+};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(untagged)]
+enum Any {
+    Nil(()),
+    Bool(bool),
+    Int(u64),
+    Float(f64),
+    Text(String),
+    List(Vec<Any>),
+    Map(BTreeMap<String, Any>),
+}
+
+fn t(s: &str) -> Any {
+    Any::Text(s.to_owned())
+}
+
+fn map(items: &[(&str, Any)]) -> Any {
+    Any::Map(
+        items
+            .iter()
+            .map(|(k, v)| (k.to_string(), v.clone()))
+            .collect(),
+    )
+}
+
+/// What the production version keeps of a job.
+fn job_record() -> Any {
+    map(&[
+        ("uid", t("wk-000412")),
+        ("class", t("train")),
+        ("owner", t("vision")),
+        ("gang", Any::Bool(true)),
+        ("urgency", Any::Int(2)),
+        ("shards", Any::Int(16)),
+        (
+            "need",
+            Any::List(vec![Any::Float(8.0), Any::Float(1.0), Any::Float(64.0)]),
+        ),
+        ("types", Any::List(vec![t("g8")])),
+        ("site", Any::Nil(())),
+        ("same_place", Any::Bool(true)),
+        ("spread", Any::Bool(false)),
+        ("spot", Any::Bool(true)),
+        ("image", Any::List(vec![t("img-07"), Any::Float(6.2)])),
+        ("expected", Any::Float(240.0)),
+        ("every", Any::Float(30.0)),
+        ("save", Any::Float(4.0)),
+        ("due", Any::Float(900.0)),
+        ("at", Any::Int(7)),
+    ])
+}
+
+#[test]
+fn records_of_the_version_in_production_are_read_and_written_as_they_are() {
+    fn both<T: Serialize + serde::de::DeserializeOwned>(record: Any) {
+        let read: T = decode(&encode(&record)).expect("it is read");
+        let again: Any = decode(&encode(&read)).expect("it is written");
+        assert_eq!(again, record);
+    }
+    both::<StoredJob>(job_record());
+    both::<StoredVerdict>(map(&[("p", t("withdrawn"))]));
+    both::<StoredLeader>(map(&[
+        ("member", t("worker-1")),
+        ("boot", Any::Int(77)),
+        ("term", Any::Int(4)),
+    ]));
+    let attempt = Any::List(vec![Any::Int(3), Any::Int(1 << 30), t("i-000231")]);
+    both::<StoredChunk>(map(&[("d", Any::Int(5)), ("a", Any::List(vec![attempt]))]));
+    let run = Any::List(vec![Any::Int(9), Any::Float(1.5), Any::Int(2)]);
+    both::<StoredHistory>(map(&[
+        ("runs", Any::List(vec![run])),
+        ("bias", Any::List(vec![])),
+        ("fetch", Any::List(vec![])),
+    ]));
+    let stored: StoredJob = decode(&encode(&job_record())).expect("it is read");
+    let spec = stored.into_spec().expect("a job");
+    assert_eq!((spec.shards, spec.needs.len()), (16, 0));
+    // A job that awaits others has one field more, which earlier versions pass over.
+    let mut awaits = spec.clone();
+    awaits.needs = vec!["wk-000398".into()];
+    let written: Any = decode(&encode(&StoredJob::from(&awaits))).expect("a map");
+    let Any::Map(mut fields) = written else {
+        panic!("not a map");
+    };
+    assert_eq!(
+        fields.remove("needs"),
+        Some(Any::List(vec![t("wk-000398")]))
+    );
+    assert_eq!(Any::Map(fields), job_record());
+}
 
 /// Bytes of a `borsh` frame, put together field by field.
 #[derive(Clone, Default)]
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -65,6 +65,8 @@
         ("Novelty", V::M(BTreeMap::from([("a", V::I(1))]))),
         ("SnapshotEveryS", V::F(0.0)),
         ("Shards", V::I(100_000)),
+        ("Awaits", V::N(None)),
+        ("Awaits", V::L(vec![])),
     ];
     for (field, value) in fine {
         let mut m = submission();
@@ -96,6 +98,10 @@
         ("ImageRef", V::T("")),
         ("Spread", V::N(None)),
         ("SamePlace", V::I(1)),
+        ("Awaits", V::T("wk-000398")),
+        ("Awaits", V::I(1)),
+        ("Awaits", V::L(vec![V::T("wk-000398"), V::T("two")])),
+        ("Awaits", V::L(vec![V::I(398)])),
     ];
     for (field, value) in bad {
         let mut m = submission();
@@ -110,6 +116,31 @@
     }
 }
 
+#[test]
+fn what_a_job_awaits() {
+    let named = |names: &[&'static str]| {
+        let mut m = submission();
+        m.insert("Awaits", V::L(names.iter().map(|n| V::T(n)).collect()));
+        read(&m).unwrap()
+    };
+    // Each counts once, however often it is named.
+    let spec = named(&["wk-000405", "wk-000398", "wk-000405"]);
+    let expected: Vec<Uid> = vec!["wk-000398".into(), "wk-000405".into()];
+    assert_eq!(spec.needs, expected);
+    let stored = StoredJob::from(&spec);
+    let back: StoredJob = decode(&encode(&stored)).unwrap();
+    assert_eq!(back.into_spec(), Some(spec));
+    // Only what is not over stays in the record, and all of it counts for the record's size.
+    let mut kept = stored.clone();
+    kept.keep_needs(&["wk-000405".into()]);
+    assert_eq!(kept.needs(), ["wk-000405"]);
+    assert!(kept.size_bound() < stored.size_bound());
+    let many: Vec<&'static str> = vec!["wk-00000000000000000001"; 1];
+    let one = StoredJob::from(&named(&many)).size_bound();
+    let none = StoredJob::from(&named(&[])).size_bound();
+    assert!(one >= none + many[0].len() + 3);
+}
+
 #[test]
 fn bodies_that_are_no_submission() {
     let deep = [vec![0x91u8; 5000], vec![0xc0]].concat();
