--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -209,8 +209,14 @@
 fn take(shared: &Shared, r: &Request) -> Answer {
     match local(shared, &r.method, &r.path, &r.body) {
         Ok(answer) => answer,
-        Err(StoreError::Spent) => crowded(shared),
-        Err(_) => by_peer(shared, r).unwrap_or_else(|| unavailable(shared)),
+        Err(e) => {
+            log::debug!("not taken path={} why=\"{e}\"", r.path);
+            if e == StoreError::Spent {
+                crowded(shared)
+            } else {
+                by_peer(shared, r).unwrap_or_else(|| unavailable(shared))
+            }
+        }
     }
 }
 
--- a/src/runtime/budget.rs
+++ b/src/runtime/budget.rs
@@ -13,20 +13,20 @@
 }
 
 pub struct Bucket {
-    size: f64,
     state: Mutex<State>,
 }
 
 struct State {
+    size: f64,
     rate: f64,
     left: f64,
     at: Instant,
 }
 
 impl State {
-    fn refill(&mut self, size: f64, now: Instant) {
+    fn refill(&mut self, now: Instant) {
         let passed = now.saturating_duration_since(self.at).as_secs_f64();
-        self.left = (self.left + passed * self.rate).min(size);
+        self.left = (self.left + passed * self.rate).min(self.size);
         self.at = self.at.max(now);
     }
 }
@@ -36,8 +36,8 @@
     pub fn new(rate: f64, burst_s: f64, now: Instant) -> Bucket {
         let size = (rate * burst_s).max(1.0);
         Bucket {
-            size,
             state: Mutex::new(State {
+                size,
                 rate,
                 left: size,
                 at: now,
@@ -48,10 +48,16 @@
     /// From now on it fills at this rate. Bursts stay as large as they were.
     pub fn set_rate(&self, rate: f64, now: Instant) {
         let mut s = self.state.lock().unwrap_or_else(|e| e.into_inner());
-        s.refill(self.size, now);
+        s.refill(now);
         s.rate = rate;
     }
 
+    /// From now on bursts are no larger than at this rate, worth so many seconds.
+    pub fn resize(&self, rate: f64, burst_s: f64) {
+        let mut s = self.state.lock().unwrap_or_else(|e| e.into_inner());
+        s.size = (rate * burst_s).max(1.0);
+    }
+
     pub fn rate(&self) -> f64 {
         self.state.lock().unwrap_or_else(|e| e.into_inner()).rate
     }
@@ -66,17 +72,17 @@
 
     pub fn left_at(&self, now: Instant) -> f64 {
         let mut s = self.state.lock().unwrap_or_else(|e| e.into_inner());
-        s.refill(self.size, now);
+        s.refill(now);
         s.left
     }
 
     /// Takes `n` only when this part of the bucket is left.
     pub fn take_above(&self, n: f64, floor: f64, now: Instant) -> bool {
         let mut s = self.state.lock().unwrap_or_else(|e| e.into_inner());
-        s.refill(self.size, now);
+        s.refill(now);
         // A request larger than the bucket goes through when the bucket is full.
-        let left = self.size * floor;
-        if s.left - n >= left || (n > self.size - left && s.left >= self.size - 1e-9) {
+        let left = s.size * floor;
+        if s.left - n >= left || (n > s.size - left && s.left >= s.size - 1e-9) {
             s.left -= n;
             true
         } else {
