--- a/src/net/store.rs
+++ b/src/net/store.rs
@@ -210,9 +210,6 @@
 /// So many refusals within this time show that the service's next rates hold.
 const REFUSALS_TELL: u32 = 3;
 const REFUSALS_WITHIN: Duration = Duration::from_secs(10);
-/// The same for a node's part of the users' changes: rarely do all nodes and the leader burst at once,
-/// and a job that awaits several others needs as many changes and one more.
-const CHANGES_BURST_S: f64 = 1.5;
 /// Of the changes a second that the service takes, these are shared out.
 const SHARED_OUT: f64 = 0.97;
 /// The part of a node's requests that questions leave to submissions and withdrawals.
@@ -235,11 +232,7 @@
         Budgets {
             users: (
                 bucket(rps * (1.0 - LEADER_REQUESTS) / nodes),
-                Bucket::new(
-                    write_rps * (1.0 - LEADER_CHANGES) / nodes,
-                    CHANGES_BURST_S,
-                    now,
-                ),
+                bucket(write_rps * (1.0 - LEADER_CHANGES) / nodes),
             ),
             leader: (
                 bucket(rps * LEADER_REQUESTS),
@@ -315,9 +308,7 @@
         let users = 1.0 - LEADER_CHANGES;
         self.users.1.set_rate(changes * users / self.nodes, now);
         self.leader.1.set_rate(changes * LEADER_CHANGES, now);
-        self.users
-            .1
-            .resize(changes * users / self.nodes, CHANGES_BURST_S);
+        self.users.1.resize(changes * users / self.nodes, BURST_S);
         self.leader.1.resize(changes * LEADER_CHANGES, BURST_S);
     }
 
