A record is no leave to launch: a new leader keeps to the team's limit

Cause: once an attempt is proved gone (killed before its launch, proved absent, out of its lease, its machine returned), its room in the team's limit goes to others at once, while the removal of its record waits for company for 4 s and longer. If the leader ends in between, the next one finds both records, counts both, and launches the first again "because it may have been sent", although the limit is full.

Mended: every launch passes core/launch_check, which asks the account of the team (core/team_use) and the zones of the job's other tasks. What may not be launched and is proved absent leaves the account and waits to be placed anew. The account has one owner, and each entry leaves it once.

Other paths with the same flaw, each with a test in tests/takeover.rs: - members of a gang that is marked done were not loaded, though they may still be on their machines; - tasks that no record names took their host's room and no part of their team's limit; - SamePlace and Spread: a stale record of another chunk was launched in a zone that is taken; - a machine back at once under its name took a late copy of a launch, since its token was not raised; - records that cannot be read were dropped with their intents, or kept a leader from loading for ever; - a team that the settings no longer name, or with a limit below its use, had its records launched.

Ruled out: drift of the sums (200,000 changes, recounted), an entry taken away twice.

Loading moves to core/takeover, attempts to core/attempts, commands to core/commands; no change there but the above. Loading now tells a record that cannot be read from a service that does not answer.

--- a/src/core/cluster.rs
+++ b/src/core/cluster.rs
@@ -8,12 +8,14 @@
 use super::dependencies::{Dependencies, Standing};
 pub use super::entities::{Active, Chunk, Host, Job, Kill};
 use super::history::History;
-use super::ledger::{self, ChunkValue, InFlight, Verdict, CHUNK};
+use super::ledger::{self, InFlight, Verdict};
 use super::model::{
-    Attempt, Directive, Epoch, HostId, HostType, JobKind, JobSpec, Need, Params, Site, TaskId,
-    TeamName, Term, TypeName, Uid, Urgency,
+    Directive, Epoch, HostId, HostType, JobSpec, Need, Params, Site, TeamName, Term, TypeName, Uid,
+    Urgency,
 };
 use super::start_limiter::StartLimiter;
+use super::takeover::SetAside;
+use super::team_use::TeamUse;
 use super::watermark::{self, Moment, Statement, Watermark};
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 use std::time::{Duration, Instant, SystemTime};
@@ -125,7 +127,8 @@
     /// Machine types on offer.
     pub types: Vec<HostType>,
     /// What each team takes.
-    pub usage: HashMap<TeamName, Need>,
+    pub team_use: TeamUse,
+    pub(super) set_aside: SetAside,
     pub(super) usage_of_late: HashMap<TeamName, Need>,
     pub(super) usage_noted: Option<Instant>,
     /// Limits starts while nodes cannot keep up.
@@ -205,7 +208,8 @@
             jobs: HashMap::new(),
             hosts: BTreeMap::new(),
             types,
-            usage: HashMap::new(),
+            team_use: TeamUse::default(),
+            set_aside: SetAside::default(),
             usage_of_late: HashMap::new(),
             usage_noted: None,
             start_limiter: StartLimiter::default(),
@@ -366,18 +370,6 @@
         self.dependencies.unresolved(|u| self.jobs.contains_key(u))
     }
 
-    /// A list of dependents found in the state service. It goes with its job.
-    pub fn load_list(&mut self, uid: &Uid) {
-        if self.jobs.contains_key(uid) {
-            self.dependencies.listed(uid);
-            return;
-        }
-        let key = ledger::dependents_key(uid);
-        if !self.leftovers.contains(&key) {
-            self.leftovers.push(key);
-        }
-    }
-
     fn orphan_dependents(&mut self, heard: Option<Instant>, uid: &Uid) {
         for dependent in self.dependencies.cancelled(uid) {
             self.orphan(heard, &dependent);
@@ -400,71 +392,6 @@
         }
     }
 
-    /// An intent chunk found at takeover. Whatever it names may be on its host.
-    pub fn load_chunk(
-        &mut self,
-        now: Instant,
-        uid: &Uid,
-        index: u32,
-        value: ChunkValue,
-        stamp: u64,
-    ) {
-        let Some(job) = self.jobs.get_mut(uid) else {
-            self.leftovers.push(ledger::chunk_key(uid, index));
-            return;
-        };
-        let chunk = job.chunks.entry(index).or_default();
-        chunk.stamp = stamp;
-        chunk.done = value.done;
-        job.done_count += value.done.count_ones();
-        let mut loaded = Vec::new();
-        for (task, attempt, host) in value.active {
-            if task >= job.spec.shards || job.is_done(task) {
-                continue;
-            }
-            loaded.push((task, host.clone()));
-            job.active.insert(
-                task,
-                Active {
-                    host,
-                    attempt,
-                    durable: true,
-                    launch_epoch: Epoch(0),
-                    tenure: None,
-                    placed: now,
-                    seen: None,
-                    waited: None,
-                    running_since: None,
-                    measured: false,
-                    est: job.spec.expected,
-                    kill: None,
-                    given: None,
-                },
-            );
-        }
-        if job.done_count == job.spec.shards {
-            self.dirty_jobs.insert(uid.clone());
-        }
-        if job.done_count > 0 || !job.active.is_empty() {
-            job.last_placed = now;
-        }
-        let (need, owner) = (job.spec.need, job.spec.owner.clone());
-        for (index, host) in loaded {
-            self.usage.entry(owner.clone()).or_default().add(&need);
-            let (term, kind) = (self.term, TypeName(String::new()));
-            let task = TaskId {
-                uid: uid.clone(),
-                index,
-            };
-            let h = self
-                .hosts
-                .entry(host.clone())
-                .or_insert_with(|| Host::new(host, kind, Site(String::new()), false, term, now));
-            h.placed.insert(task, need);
-            h.used.add(&need);
-        }
-    }
-
     /// The watch of the queue shows that a job is cancelled.
     pub fn on_cancel_marked(&mut self, now: Instant, uid: &Uid) {
         self.on_cancelled(now, uid, CancelSource::Watch);
@@ -524,192 +451,6 @@
         self.types.iter().find(|t| &t.name == name)
     }
 
-    pub(super) fn next_attempt(&mut self) -> Attempt {
-        self.attempts += 1;
-        Attempt((self.term.0 << 28) | self.attempts)
-    }
-
-    // --- attempts ---
-
-    /// Records the decision to run a task on a host. The launch goes out once this is durable.
-    pub(super) fn assign(
-        &mut self,
-        now: Instant,
-        uid: &Uid,
-        index: u32,
-        host: &HostId,
-        attempt: Attempt,
-        est: Duration,
-    ) {
-        let (Some(job), Some(h)) = (self.jobs.get_mut(uid), self.hosts.get_mut(host)) else {
-            return;
-        };
-        job.requeued.remove(&index);
-        if index == job.next {
-            job.next += 1;
-        }
-        let active = Active {
-            host: host.clone(),
-            attempt,
-            durable: false,
-            launch_epoch: Epoch(0),
-            tenure: Some(h.tenure),
-            placed: now,
-            seen: None,
-            waited: None,
-            running_since: None,
-            measured: false,
-            est,
-            kill: None,
-            given: None,
-        };
-        job.active.insert(index, active);
-        job.last_placed = now;
-        job.turn = job.turn.saturating_sub(1);
-        job.unlaunched += 1;
-        job.touch(index);
-        let need = job.spec.need;
-        h.placed.insert(job.task(index), need);
-        h.used.add(&need);
-        h.idle_since = None;
-        if !h.has_image(job.image) {
-            h.fetching
-                .entry(job.image)
-                .or_insert((now, job.spec.image_gb));
-        }
-        self.usage
-            .entry(job.spec.owner.clone())
-            .or_default()
-            .add(&need);
-        self.dirty_jobs.insert(uid.clone());
-    }
-
-    pub(super) fn intent_durable(&mut self, now: Instant, task: &TaskId, attempt: Attempt) {
-        let Some(job) = self.jobs.get_mut(&task.uid) else {
-            return;
-        };
-        let cancelled = job.cancelled;
-        let Some(a) = job.active.get_mut(&task.index) else {
-            return;
-        };
-        if a.attempt != attempt || a.durable {
-            return;
-        }
-        a.durable = true;
-        a.placed = now;
-        job.unlaunched = job.unlaunched.saturating_sub(1);
-        if !cancelled {
-            self.urgent.insert(a.host.clone());
-        }
-    }
-
-    /// Asks for an attempt's end. One that was never sent ends here and now.
-    pub(super) fn kill(&mut self, now: Instant, uid: &Uid, index: u32, wind_down: Duration) {
-        let Some(a) = self
-            .jobs
-            .get_mut(uid)
-            .and_then(|j| j.active.get_mut(&index))
-        else {
-            return;
-        };
-        if !a.durable {
-            self.gone(now, uid, index, false);
-            return;
-        }
-        match &mut a.kill {
-            Some(k) if k.wind_down <= wind_down => return,
-            Some(k) => k.wind_down = wind_down,
-            None => {
-                a.kill = Some(Kill {
-                    wind_down,
-                    since: now,
-                })
-            }
-        }
-        self.urgent.insert(a.host.clone());
-    }
-
-    /// The attempt is off its host for certain. Unless it was done, the task waits again.
-    pub(super) fn gone(
-        &mut self,
-        now: Instant,
-        uid: &Uid,
-        index: u32,
-        done: bool,
-    ) -> Option<Active> {
-        let job = self.jobs.get_mut(uid)?;
-        let a = job.active.remove(&index)?;
-        if !a.durable {
-            job.unlaunched = job.unlaunched.saturating_sub(1);
-        }
-        let attempt = a.attempt;
-        let need = job.spec.need;
-        let chunk = job.touch(index);
-        let version = chunk.version;
-        chunk.held.push((index, attempt, version));
-        chunk.ended_since.get_or_insert(now);
-        if done {
-            // A gang's members are all marked when the first one is done.
-            let bit = 1 << (index % CHUNK);
-            if chunk.done & bit == 0 {
-                chunk.done |= bit;
-                job.done_count += 1;
-            }
-            job.progress.remove(&index);
-        } else if !job.over() && !job.is_done(index) {
-            job.requeued.insert(index);
-        }
-        if let Some(u) = self.usage.get_mut(&job.spec.owner) {
-            u.sub(&need);
-        }
-        let task = job.task(index);
-        let gang = job.spec.kind == JobKind::Gang;
-        if job.finished && job.active.is_empty() {
-            self.drop_job(now, uid);
-        } else {
-            self.dirty_jobs.insert(uid.clone());
-        }
-        if let Some(h) = self.hosts.get_mut(&a.host) {
-            if h.placed.remove(&task).is_some() {
-                h.used.sub(&need);
-            }
-            if h.placed.is_empty() {
-                h.used = Need::default();
-                h.fetching.clear();
-                h.idle_since = Some(now);
-            }
-        }
-        self.round_due = true;
-        if gang {
-            self.gang_lost(now, uid, done);
-        }
-        Some(a)
-    }
-
-    /// A gang ends as a whole: done when one task is, and otherwise stopped to start anew.
-    pub(super) fn gang_lost(&mut self, now: Instant, uid: &Uid, done: bool) {
-        let Some(job) = self.jobs.get_mut(uid) else {
-            return;
-        };
-        if done {
-            for i in 0..job.spec.shards {
-                if !job.is_done(i) {
-                    job.touch(i).done |= 1 << (i % CHUNK);
-                    job.done_count += 1;
-                }
-            }
-            job.requeued.clear();
-            return;
-        }
-        if job.over() {
-            return;
-        }
-        let rest: Vec<u32> = job.active.keys().copied().collect();
-        for i in rest {
-            self.kill(now, uid, i, Duration::ZERO);
-        }
-    }
-
     /// How many changes the next transaction may have: a larger one would wait for the rate with all
     /// that is in it.
     pub fn allow(&mut self, changes: usize) {
--- a/src/core/entities.rs
+++ b/src/core/entities.rs
@@ -54,6 +54,27 @@
     pub given: Option<Instant>,
 }
 
+impl Active {
+    /// An attempt that was decided on and of which nothing was sent in this term.
+    pub(super) fn planned(now: Instant, host: HostId, attempt: Attempt, est: Duration) -> Active {
+        Active {
+            host,
+            attempt,
+            durable: false,
+            launch_epoch: Epoch(0),
+            tenure: None,
+            placed: now,
+            seen: None,
+            waited: None,
+            running_since: None,
+            measured: false,
+            est,
+            kill: None,
+            given: None,
+        }
+    }
+}
+
 /// Tasks of a job that share a key of the state service.
 #[derive(Clone, Debug, Default)]
 pub struct Chunk {
@@ -359,6 +380,8 @@
     pub probed: bool,
     /// Rented in this term: no earlier life of it can have left reports behind.
     pub own: bool,
+    /// The token that its newest message showed.
+    pub shown: Epoch,
     /// It is given nothing until it shows this token, first answered then: what reached us from it
     /// does not prove that answers and commands reach it.
     pub must_show: Option<(Epoch, Instant)>,
@@ -436,6 +459,7 @@
             reported: false,
             probed: false,
             own: false,
+            shown: Epoch(0),
             must_show: None,
             floor: None,
             restart_probe: None,
--- a/src/core/gang_placement.rs
+++ b/src/core/gang_placement.rs
@@ -22,7 +22,7 @@
     /// so long that machines are kept free for it.
     pub(super) fn plan_gang(&self, job: &Job, starved: bool, round: &mut PlacementRound<'_>) {
         let spec = &job.spec;
-        let Some(team) = self.params.teams.iter().find(|t| t.name == spec.owner) else {
+        let Some(team) = self.team_that_may_start(&spec.owner) else {
             return;
         };
         let mut sum = round.used.get(&spec.owner).copied().unwrap_or_default();
--- /dev/null
+++ b/src/core/launch_check.rs
@@ -0,0 +1,77 @@
+//! Whether an attempt on record may be launched now.
+//!
+//! A record may outlive its attempt: once an attempt is proved gone, its room in the team's limit, and its
+//! zone, go to others at once, while the removal of its record waits for company and can be lost with
+//! the leader. So a record is no leave to launch. A leader launches only while its account, which holds
+//! all that is on record, keeps to the team's limit and to the job's zones. What may not be launched and
+//! is proved not to be on its machine leaves the account and waits to be placed anew.
+
+use super::cluster::Cluster;
+use super::entities::Job;
+use super::model::{Need, TaskId, Team, TeamName};
+
+/// What may become of an attempt that its machine does not show.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum LaunchCheck {
+    /// It may be launched.
+    Allowed,
+    /// Where other tasks of its job are is not known yet.
+    Unknown,
+    /// It may not be launched: it leaves once it is proved absent.
+    Refused,
+}
+
+impl Cluster {
+    /// Whether an attempt may be launched on its machine.
+    pub(super) fn launch_check(&self, task: &TaskId) -> LaunchCheck {
+        let Some(job) = self.jobs.get(&task.uid) else {
+            return LaunchCheck::Refused;
+        };
+        if job.is_done(task.index) || !self.keeps_limit(&job.spec.owner) {
+            return LaunchCheck::Refused;
+        }
+        self.check_zones(job, task.index)
+    }
+
+    /// Whether all that is on record of a team keeps to its limit.
+    fn keeps_limit(&self, owner: &TeamName) -> bool {
+        let used = self.team_use.of(owner);
+        let team = self.team_that_may_start(owner);
+        team.is_some_and(|t| t.allows(&used, &Need::default()))
+    }
+
+    /// A team by its name, unless nothing may start for it: the settings do not name it, or it has a
+    /// limit and what its tasks use is not known.
+    pub(super) fn team_that_may_start(&self, owner: &TeamName) -> Option<&Team> {
+        let team = self.params.teams.iter().find(|t| &t.name == owner)?;
+        let limited = team.cpus_max.is_some() || team.gpus_max.is_some();
+        (!limited || !self.set_aside.may_run()).then_some(team)
+    }
+
+    fn check_zones(&self, job: &Job, index: u32) -> LaunchCheck {
+        let spec = &job.spec;
+        if !spec.same_place && !spec.spread {
+            return LaunchCheck::Allowed;
+        }
+        let site_of = self.site_of();
+        let Some(site) = job.active.get(&index).and_then(|a| site_of(&a.host)) else {
+            return LaunchCheck::Unknown;
+        };
+        let (mut unknown, mut here, mut elsewhere) = (0, 0, 0);
+        for (_, other) in job.active.iter().filter(|(i, _)| **i != index) {
+            match site_of(&other.host) {
+                None => unknown += 1,
+                Some(zone) if zone == site => here += 1,
+                Some(_) => elsewhere += 1,
+            }
+        }
+        let half = spec.shards.div_ceil(2);
+        if (spec.same_place && elsewhere > 0) || (spec.spread && here + 1 > half) {
+            LaunchCheck::Refused
+        } else if (spec.same_place && unknown > 0) || (spec.spread && here + unknown + 1 > half) {
+            LaunchCheck::Unknown
+        } else {
+            LaunchCheck::Allowed
+        }
+    }
+}
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -1,9 +1,11 @@
 //! The deciding part: deterministic, without sockets, files, threads or clocks of its own.
 
 pub mod admission;
+mod attempts;
 pub mod backoff;
 pub mod capacity;
 pub mod cluster;
+mod commands;
 mod consolidation;
 pub mod dependencies;
 pub mod entities;
@@ -11,6 +13,7 @@
 mod gang_placement;
 mod headroom;
 pub mod history;
+mod launch_check;
 pub mod leadership;
 pub mod ledger;
 pub mod model;
@@ -24,6 +27,8 @@
 mod slots;
 pub mod start_limiter;
 pub mod status_reads;
+pub mod takeover;
+pub mod team_use;
 mod termination;
 pub mod watermark;
 pub mod zones;
--- a/src/core/placement.rs
+++ b/src/core/placement.rs
@@ -379,7 +379,7 @@
             rates,
             within: self.within_guarantee(),
             beyond: self.beyond_fair_part(),
-            used: self.usage.clone(),
+            used: self.team_use.by_team(),
             looked: 0,
             longest: Duration::ZERO,
             limited: Vec::new(),
@@ -409,7 +409,7 @@
         if pending.is_empty() {
             return;
         }
-        let Some(team) = self.params.teams.iter().find(|t| t.name == spec.owner) else {
+        let Some(team) = self.team_that_may_start(&spec.owner) else {
             return;
         };
         let by_type = self.by_type(spec);
--- a/src/core/preemption.rs
+++ b/src/core/preemption.rs
@@ -140,7 +140,7 @@
     ) -> Vec<(TaskId, bool)> {
         let mut chosen: Vec<(TaskId, bool)> = Vec::new();
         let mut pool: Vec<Need> = slots.iter().map(|s| s.free).collect();
-        let mut usage = self.usage.clone();
+        let mut usage = self.team_use.by_team();
         let mut candidates: Option<Vec<Vec<Candidate<'_>>>> = None;
         let mut taken: Vec<HashSet<usize>> = vec![HashSet::new(); slots.len()];
         let mut rest = waiting;
@@ -263,7 +263,7 @@
         for job in &limited {
             let owner = &job.spec.owner;
             if !teams.contains_key(owner) {
-                let used = self.usage.get(owner).copied().unwrap_or_default();
+                let used = self.team_use.of(owner);
                 teams.insert(owner, (used, Vec::new()));
             }
         }
--- a/src/core/queue.rs
+++ b/src/core/queue.rs
@@ -104,14 +104,14 @@
     /// for a moment.
     pub(super) fn note_usage(&mut self, now: Instant) {
         let Some(before) = self.usage_noted.replace(now) else {
-            self.usage_of_late = self.usage.clone();
+            self.usage_of_late = self.team_use.by_team();
             return;
         };
         let passed = now.saturating_duration_since(before).as_secs_f64();
         let fresh = 1.0 - (-passed / USAGE_OF_LATE.as_secs_f64()).exp();
-        for (team, used) in &self.usage {
-            let mean = self.usage_of_late.entry(team.clone()).or_default();
-            let mut change = *used;
+        for (team, used) in self.team_use.by_team() {
+            let mean = self.usage_of_late.entry(team).or_default();
+            let mut change = used;
             change.sub(mean);
             mean.add(&change.times(fresh));
         }
--- a/src/core/reports.rs
+++ b/src/core/reports.rs
@@ -1,15 +1,15 @@
 //! What workers' reports tell, and what they are answered.
 
-use super::cluster::{Action, Answer, Cluster};
+use super::cluster::{Answer, Cluster};
+use super::commands::MOST_DIRECTIVES;
 use super::entities::Host;
+use super::launch_check::LaunchCheck;
 use super::model::{
-    Attempt, Directive, Epoch, Exit, HostId, Need, Report, TaskId, TaskPhase, Term,
+    Attempt, Directive, Epoch, Exit, HostId, Need, Report, TaskId, TaskPhase, TeamName,
 };
 use std::collections::HashSet;
 use std::time::{Duration, Instant};
 
-/// Most directives in one message: far below 64 KiB.
-const MOST_DIRECTIVES: usize = 300;
 /// What was told to a host shows in its reports within one interval, or this.
 const ACKNOWLEDGE_LEAST: Duration = Duration::from_secs(4);
 
@@ -24,8 +24,8 @@
     unexpected: Vec<Directive>,
     /// Ended ones that the worker may forget.
     forgets: Vec<Directive>,
-    /// What the unexpected ones take.
-    foreign: Need,
+    /// What the unexpected ones take, and whose they are.
+    foreign: Vec<(TeamName, Need)>,
 }
 
 impl Cluster {
@@ -113,9 +113,12 @@
             if heartbeat {
                 h.last_answer = h.last_answer.max(Some(h.last_report));
             }
-            // Or the machine was restarted under its name and counts from the beginning. No
-            // copy can show a token that was first given out after it was sent.
-            if silent && heartbeat && h.restart_probe.is_none() {
+            // Or the machine was restarted under its name and counts from the beginning: it has been
+            // silent, or shows a token below the one shown before. No copy can show a token that was
+            // first given out after it was sent; and such a machine, which has forgotten what it was
+            // told to stop, takes no command any more that was sent to it before.
+            let fallen_back = r.epoch < h.shown;
+            if (silent || fallen_back) && heartbeat && h.restart_probe.is_none() {
                 h.epoch = h.epoch.next();
                 h.restart_probe = Some(h.epoch);
             }
@@ -148,6 +151,7 @@
         h.endpoint = r.endpoint.clone();
         h.tenure = r.tenure;
         h.serial = r.serial;
+        h.shown = r.epoch;
         h.last_report = now;
         h.lease_spent = false;
         if r.epoch.term() == term {
@@ -225,7 +229,8 @@
                 _ => {
                     // No intent of any term names it: a command that came late.
                     if let Some(j) = job {
-                        tasks.foreign.add(&j.spec.need);
+                        let owner = j.spec.owner.clone();
+                        tasks.foreign.push((owner, j.spec.need));
                     }
                     tasks.unexpected.push(Directive::Kill {
                         task: t.task.clone(),
@@ -248,7 +253,11 @@
         let Some(h) = self.hosts.get_mut(host) else {
             return Answer::Ignore;
         };
-        h.foreign = tasks.foreign;
+        h.foreign = Need::default();
+        for (_, need) in &tasks.foreign {
+            h.foreign.add(need);
+        }
+        self.team_use.set_unexpected(host, &tasks.foreign);
         if heartbeat {
             h.last_answer = Some(now);
         }
@@ -443,7 +452,10 @@
             let current = r.epoch.term() == self.term || h.own;
             let earlier =
                 a.tenure.is_some_and(|t| t < r.tenure) && a.launch_epoch != Epoch(0) && current;
-            let unwanted = a.kill.is_some() || h.returning || h.eviction.is_some();
+            let unwanted = a.kill.is_some()
+                || h.returning
+                || h.eviction.is_some()
+                || self.launch_check(task) == LaunchCheck::Refused;
             if earlier {
                 // The worker began a new session and killed what it had; commands of the old
                 // session no longer match.
@@ -468,131 +480,4 @@
             self.gone(now, &t.uid, t.index, false);
         }
     }
-
-    /// Launches and kills that this host has not shown to have taken.
-    pub(super) fn directives(
-        &mut self,
-        now: Instant,
-        host: &HostId,
-        listed: Option<&HashSet<(TaskId, Attempt)>>,
-        out: &mut Vec<Directive>,
-    ) {
-        let Some(h) = self.hosts.get(host) else {
-            return;
-        };
-        let epoch = h.epoch;
-        let leaving = h.returning || h.eviction.is_some();
-        let tasks: Vec<TaskId> = h.placed.keys().cloned().collect();
-        let tenure = h.tenure;
-        for task in tasks {
-            let Some(job) = self.jobs.get_mut(&task.uid) else {
-                continue;
-            };
-            let over = job.cancelled || job.finished;
-            let Some(a) = job.active.get_mut(&task.index) else {
-                continue;
-            };
-            if !a.durable {
-                continue;
-            }
-            let known = match listed {
-                Some(l) => l.contains(&(task.clone(), a.attempt)),
-                None => a.seen.is_some(),
-            };
-            if let Some(k) = &a.kill {
-                // Repeated without what has passed of the grace, so that repeats do not extend it.
-                let left = k
-                    .wind_down
-                    .saturating_sub(now.saturating_duration_since(k.since));
-                let saving = a.seen == Some(TaskPhase::Flushing);
-                if (known || listed.is_none()) && (!saving || k.wind_down.is_zero()) {
-                    let wind_down = if saving { left } else { k.wind_down };
-                    out.push(Directive::Kill {
-                        task,
-                        attempt: a.attempt,
-                        wind_down,
-                    });
-                }
-            } else if !known && !over && !leaving && self.confirmed {
-                // Without the state service the job may have been cancelled unheard.
-                a.launch_epoch = a.launch_epoch.max(epoch);
-                a.tenure = Some(tenure);
-                a.given.get_or_insert(now);
-                out.push(Directive::Launch {
-                    task,
-                    attempt: a.attempt,
-                });
-            }
-            if out.len() >= MOST_DIRECTIVES {
-                break;
-            }
-        }
-    }
-
-    /// A direct command's answer, or None when there was none.
-    pub fn on_sent(&mut self, now: Instant, host: &HostId, report: Option<Report>) -> Option<Term> {
-        if let Some(h) = self.hosts.get_mut(host) {
-            h.sending = false;
-        }
-        match report {
-            Some(r) if &r.host == host => match self.on_report(now, r, false) {
-                Answer::Superseded(t) => Some(t),
-                Answer::Accept { directives, .. } => {
-                    // Forgets can wait for the next report; launches and kills cannot.
-                    if directives
-                        .iter()
-                        .any(|d| !matches!(d, Directive::Forget { .. }))
-                    {
-                        self.urgent.insert(host.clone());
-                    }
-                    None
-                }
-                Answer::Ignore | Answer::Withheld => None,
-            },
-            _ => None,
-        }
-    }
-
-    pub(super) fn send_urgent(&mut self, now: Instant) {
-        for host in std::mem::take(&mut self.urgent) {
-            let Some(h) = self.hosts.get(&host) else {
-                continue;
-            };
-            if h.sending {
-                self.urgent.insert(host);
-                continue;
-            }
-            // A silent host would only hold a sender up: the next report carries the commands.
-            let silent = now.saturating_duration_since(h.last_report) > self.params.report * 2;
-            if !h.reported || h.endpoint.is_empty() || silent {
-                continue;
-            }
-            // A launch still in flight would come after its kill: the raised token shuts it out.
-            let unseen = h.placed.keys().any(|t| {
-                let a = self.jobs.get(&t.uid).and_then(|j| j.active.get(&t.index));
-                a.is_some_and(|a| a.durable && a.kill.is_some() && a.seen.is_none())
-            });
-            if unseen {
-                if let Some(h) = self.hosts.get_mut(&host) {
-                    h.epoch = h.epoch.next();
-                }
-            }
-            let mut directives = Vec::new();
-            self.directives(now, &host, None, &mut directives);
-            if directives.is_empty() {
-                continue;
-            }
-            let Some(h) = self.hosts.get_mut(&host) else {
-                continue;
-            };
-            h.sending = true;
-            self.actions.push(Action::Send {
-                host: host.clone(),
-                endpoint: h.endpoint.clone(),
-                epoch: h.epoch,
-                tenure: h.tenure,
-                directives,
-            });
-        }
-    }
 }
--- a/src/core/termination.rs
+++ b/src/core/termination.rs
@@ -1,7 +1,7 @@
 //! Hosts and tasks that go: returned, taken back, out of their lease, cancelled or stopped.
 
 use super::cluster::Cluster;
-use super::model::{HostId, JobKind, TaskId, Uid};
+use super::model::{HostId, JobKind, Need, TaskId, Uid};
 use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
 
@@ -28,6 +28,8 @@
             self.gone(now, &t.uid, t.index, false);
         }
         self.hosts.remove(id);
+        self.team_use.set_unexpected(id, &[]);
+        self.set_aside.host_gone(id);
         self.urgent.remove(id);
         if self.tombstones.insert(id.clone()) {
             self.tombstone_order.push_back(id.clone());
@@ -68,6 +70,8 @@
             };
             if now.saturating_duration_since(answer) > spent {
                 h.lease_spent = true;
+                h.foreign = Need::default();
+                self.team_use.set_unexpected(&h.id, &[]);
                 gone.extend(h.placed.keys().cloned());
             }
         }
--- a/src/net/store.rs
+++ b/src/net/store.rs
@@ -29,6 +29,9 @@
     /// Not executed, and never will be as it is: malformed or over a limit.
     #[error("the state service takes no such request")]
     Refused,
+    /// What it answered is of another form than was asked for.
+    #[error("a record of the state service cannot be read")]
+    Unreadable,
     /// The lease has ended, or never was.
     #[error("no such lease")]
     NoLease,
@@ -353,6 +356,7 @@
                         return Ok((all, first));
                     }
                 }
+                Err(StoreError::Unreadable) => return Err(StoreError::Unreadable),
                 Err(e) => {
                     if Instant::now() + LIST_PAUSE >= until || stop.wait(LIST_PAUSE) {
                         return Err(e);
@@ -378,7 +382,7 @@
         if a.status != 200 {
             return Err(StoreError::Unavailable);
         }
-        a.decode().ok_or(StoreError::Unavailable)
+        a.decode().ok_or(StoreError::Unreadable)
     }
 
     /// A transaction: the changes are made if all keys have these stamps (0: absent).
--- a/src/runtime/loading.rs
+++ b/src/runtime/loading.rs
@@ -4,17 +4,19 @@
 use super::queue_feed::feed;
 use super::service::Shared;
 use super::stop::Stop;
-use crate::core::cluster::{CancelSource, Cluster};
+use crate::core::cluster::Cluster;
 use crate::core::history::Summary;
 use crate::core::ledger::{self, Verdict};
 use crate::core::model::{Term, Uid};
 use crate::core::status_reads::{self, Standing};
+use crate::core::takeover::{IndexedChunk, IndexedJob, StoredPicture};
 use crate::core::watermark::Moment;
 use crate::net::questions;
 use crate::net::store::{Asked, Pair, StoreError};
 use crate::net::wire::{StoredChunk, StoredHistory, StoredJob};
 use crate::runtime::budget::Rank;
 use serde::de::{DeserializeOwned, IgnoredAny};
+use serde::Deserialize;
 use std::collections::{BTreeSet, HashMap, HashSet};
 use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -64,9 +66,7 @@
     live: &[Pair<StoredJob>],
     stop: &Stop,
 ) -> Result<HashMap<Uid, Verdict>, StoreError> {
-    let prefix = ledger::LIVE_PREFIX;
-    let uids = live.iter().filter_map(|p| p.path.strip_prefix(prefix));
-    let uids: Vec<Uid> = uids.filter_map(Uid::parse).collect();
+    let uids = jobs_under(ledger::LIVE_PREFIX, live);
     let found = standings_of(shared, &uids, stop)?;
     let over = found
         .into_iter()
@@ -138,39 +138,93 @@
         .list_patiently(prefix, Rank::Leader, PAGE_LIMIT, PAGE_PATIENCE, stop)
 }
 
-/// What the state service holds of the cluster.
-struct StoredPicture {
+/// A record that may be of a form that this version does not know.
+#[derive(Deserialize)]
+#[serde(untagged)]
+enum MaybeReadable<T> {
+    Readable(T),
+    Unreadable(IgnoredAny),
+}
+
+/// The records under a prefix.
+struct Listing<T> {
+    records: Vec<Pair<T>>,
+    /// Keys whose records cannot be read.
+    unreadable: Vec<String>,
+    revision: u64,
+}
+
+/// The records under a prefix. They are looked at one by one only where not all of them can be read.
+fn read_readable<T: DeserializeOwned>(
+    shared: &Shared,
+    prefix: &str,
+    stop: &Stop,
+) -> Result<Listing<T>, StoreError> {
+    match read_all(shared, prefix, stop) {
+        Ok((records, revision)) => {
+            let unreadable = Vec::new();
+            return Ok(Listing {
+                records,
+                unreadable,
+                revision,
+            });
+        }
+        Err(StoreError::Unreadable) => {}
+        Err(e) => return Err(e),
+    }
+    let (pairs, revision) = read_all::<MaybeReadable<T>>(shared, prefix, stop)?;
+    let (mut records, mut unreadable) = (Vec::new(), Vec::new());
+    for Pair { path, value, stamp } in pairs {
+        match value {
+            MaybeReadable::Readable(value) => records.push(Pair { path, value, stamp }),
+            MaybeReadable::Unreadable(_) => unreadable.push(path),
+        }
+    }
+    Ok(Listing {
+        records,
+        unreadable,
+        revision,
+    })
+}
+
+/// What was read of the state service, as it is stored.
+struct StoredRecords {
     lists: Vec<Pair<IgnoredAny>>,
     live: Vec<Pair<StoredJob>>,
+    unreadable_live: Vec<String>,
     cancel_marks: Vec<Pair<IgnoredAny>>,
     intents: Vec<Pair<StoredChunk>>,
+    unreadable_intents: Vec<String>,
     history: Option<StoredHistory>,
     /// From here on the watch of the queue misses nothing of it.
     revision: u64,
 }
 
-fn read_picture(shared: &Shared, stop: &Stop) -> Result<StoredPicture, StoreError> {
+fn read_records(shared: &Shared, stop: &Stop) -> Result<StoredRecords, StoreError> {
     let (lists, _) = read_all(shared, ledger::DEPENDENTS_PREFIX, stop)?;
-    let (live, revision) = read_all(shared, ledger::LIVE_PREFIX, stop)?;
+    let live = read_readable(shared, ledger::LIVE_PREFIX, stop)?;
     let (cancel_marks, _) = read_all(shared, ledger::CANCEL_MARK_PREFIX, stop)?;
-    let (intents, _) = read_all(shared, ledger::INTENT_PREFIX, stop)?;
+    let intents = read_readable(shared, ledger::INTENT_PREFIX, stop)?;
     let history =
         shared
             .store
             .get::<StoredHistory>(ledger::HISTORY_KEY, Rank::Leader, HISTORY_LIMIT)?;
-    Ok(StoredPicture {
+    Ok(StoredRecords {
         lists,
-        live,
         cancel_marks,
-        intents,
         history: history.map(|entry| entry.value),
-        revision,
+        revision: live.revision,
+        live: live.records,
+        unreadable_live: live.unreadable,
+        intents: intents.records,
+        unreadable_intents: intents.unreadable,
     })
 }
 
-/// The job that a key under a prefix names.
-fn job_under(prefix: &str, key: &str) -> Option<Uid> {
-    key.strip_prefix(prefix).and_then(Uid::parse)
+/// The jobs that keys under a prefix name.
+fn jobs_under<T>(prefix: &str, pairs: &[Pair<T>]) -> Vec<Uid> {
+    let names = pairs.iter().filter_map(|p| p.path.strip_prefix(prefix));
+    names.filter_map(Uid::parse).collect()
 }
 
 fn load(
@@ -180,19 +234,16 @@
     stop: &Stop,
 ) -> Result<(Cluster, u64), StoreError> {
     let began = Moment::now();
-    let picture = read_picture(shared, stop)?;
-    let over = over_already(shared, &picture.live, stop)?;
-    let ends = ends_of_needed(shared, &picture.live, stop)?;
-    let (jobs, chunks) = (picture.live.len(), picture.intents.len());
-    let revision = picture.revision;
+    let records = read_records(shared, stop)?;
+    let over = over_already(shared, &records.live, stop)?;
+    let ends = ends_of_needed(shared, &records.live, stop)?;
+    let (jobs, chunks) = (records.live.len(), records.intents.len());
+    let revision = records.revision;
     let now = Instant::now();
     let mut cluster = empty_cluster(shared, term, stamp, now);
     let peers = shared.peers.iter().map(|p| p.member.clone());
     cluster.confirmed_by(peers, began);
-    for (uid, verdict) in ends {
-        cluster.ended_before(now, &uid, verdict);
-    }
-    enter_picture(&mut cluster, now, picture, &over);
+    cluster.take_over(now, picture(records, over, ends));
     log::info!("loaded term={} jobs={jobs} intent_keys={chunks}", term.0);
     Ok((cluster, revision))
 }
@@ -206,50 +257,48 @@
     Cluster::new(params, term, stamp, types, now, now_ms)
 }
 
-/// Takes over what was read, with the verdicts of jobs that are still in the index.
-fn enter_picture(
-    cluster: &mut Cluster,
-    now: Instant,
-    picture: StoredPicture,
-    over: &HashMap<Uid, Verdict>,
-) {
-    if let Some(history) = picture.history {
-        cluster.history.load(&Summary::from(history));
-    }
-    let mut cancelled = Vec::new();
-    for pair in picture.live {
-        let Some(spec) = pair.value.into_spec() else {
-            continue;
-        };
-        match over.get(&spec.uid) {
-            Some(Verdict::Done) => {
-                cluster.ended_before(now, &spec.uid, Verdict::Done);
-                cluster.forget_index(&spec.uid);
-            }
-            Some(Verdict::Cancelled) => {
-                cancelled.push(spec.uid.clone());
-                cluster.on_job(spec, pair.stamp);
-            }
-            _ => cluster.on_job(spec, pair.stamp),
+/// The records in the core's form. What cannot be read is named, and no part of it is dropped.
+fn picture(
+    records: StoredRecords,
+    over: HashMap<Uid, Verdict>,
+    ends: Vec<(Uid, Verdict)>,
+) -> StoredPicture {
+    let mut unreadable_live = records.unreadable_live;
+    let mut jobs = Vec::new();
+    for Pair { path, value, stamp } in records.live {
+        match value.into_spec() {
+            Some(spec) => jobs.push(IndexedJob { spec, stamp }),
+            None => unreadable_live.push(path),
         }
     }
-    for pair in picture.lists {
-        if let Some(uid) = job_under(ledger::DEPENDENTS_PREFIX, &pair.path) {
-            cluster.load_list(&uid);
-        }
-    }
-    for pair in picture.intents {
-        if let Some((uid, index)) = ledger::parse_chunk_key(&pair.path) {
-            cluster.load_chunk(now, &uid, index, pair.value.into_value(), pair.stamp);
-        }
+    let chunks = records.intents.into_iter().filter_map(|pair| {
+        let (uid, index) = ledger::parse_chunk_key(&pair.path)?;
+        Some(IndexedChunk {
+            uid,
+            index,
+            value: pair.value.into_value(),
+            stamp: pair.stamp,
+        })
+    });
+    for key in unreadable_live.iter().chain(&records.unreadable_intents) {
+        log::error!("a record cannot be read and is left as it is key={key}");
     }
-    // After the intents, so that no task of a cancelled job is overlooked.
-    for pair in picture.cancel_marks {
-        if let Some(uid) = job_under(ledger::CANCEL_MARK_PREFIX, &pair.path) {
-            cluster.on_cancelled(now, &uid, CancelSource::Load);
-        }
-    }
-    for uid in cancelled {
-        cluster.on_cancelled(now, &uid, CancelSource::Verdict);
+    let prefix = ledger::LIVE_PREFIX;
+    let unreadable_jobs = unreadable_live
+        .iter()
+        .filter_map(|k| k.strip_prefix(prefix));
+    let unreadable_intents = records.unreadable_intents.iter();
+    StoredPicture {
+        history: records.history.map(Summary::from),
+        jobs,
+        over,
+        ends,
+        lists: jobs_under(ledger::DEPENDENTS_PREFIX, &records.lists),
+        cancel_marks: jobs_under(ledger::CANCEL_MARK_PREFIX, &records.cancel_marks),
+        chunks: chunks.collect(),
+        unreadable_jobs: unreadable_jobs.filter_map(Uid::parse).collect(),
+        unreadable_intents: unreadable_intents
+            .filter_map(|key| Some(ledger::parse_chunk_key(key)?.0))
+            .collect(),
     }
 }
--- a/src/runtime/queue_feed.rs
+++ b/src/runtime/queue_feed.rs
@@ -122,9 +122,11 @@
         Uid::parse(uid).map(|u| Event::Cancelled(term, u))
     } else {
         match value {
-            Some(Queued::Job(job)) => job
-                .into_spec()
-                .and_then(|spec| indexed_job(shared, term, spec, stamp)),
+            Some(Queued::Job(job)) => match job.into_spec() {
+                Some(spec) => indexed_job(shared, term, spec, stamp),
+                None => unreadable(key),
+            },
+            Some(Queued::Other(_)) if key.starts_with(ledger::LIVE_PREFIX) => unreadable(key),
             _ => None,
         }
     };
@@ -133,6 +135,12 @@
     }
 }
 
+/// Nothing of such a job is on a machine: its record is new.
+fn unreadable(key: &str) -> Option<Event> {
+    log::error!("a record cannot be read and is left as it is key={key}");
+    None
+}
+
 /// The index keeps a job for a while after its verdict. One that is done was the leader's already. One
 /// that is cancelled may not have been, if the watch is late: its place in the index is the leader's
 /// to remove all the same.
--- /dev/null
+++ b/tests/takeover.rs
@@ -0,0 +1,389 @@
+//! What a new leader makes of the records that it finds: a record may outlive its attempt, and the room
+//! in the team's limit, or the zone, may be another's by then.
+
+mod common;
+
+use common::*;
+use cypressgap::core::cluster::Answer;
+use cypressgap::core::ledger::{ChunkValue, Verdict};
+use cypressgap::core::model::*;
+use cypressgap::core::takeover::{IndexedChunk, IndexedJob, StoredPicture};
+use cypressgap::core::team_use::TeamUse;
+
+const ATTEMPT: Attempt = Attempt(7);
+
+/// Tasks on record as sent to a machine.
+fn sent(uid: &str, tasks: &[u32], host: &str) -> IndexedChunk {
+    let active = tasks.iter().map(|i| (*i, ATTEMPT, host.into()));
+    IndexedChunk {
+        uid: uid.into(),
+        index: tasks[0] / 64,
+        value: ChunkValue {
+            done: 0,
+            active: active.collect(),
+        },
+        stamp: 90,
+    }
+}
+
+/// A job of so many tasks of 4 processors for the team "red", whose limit is 8.
+fn job(uid: &str, shards: u32) -> IndexedJob {
+    IndexedJob {
+        spec: spec(uid, shards, 4.0),
+        stamp: uid.bytes().map(u64::from).sum(),
+    }
+}
+
+fn tight() -> World {
+    let mut p = params();
+    p.teams = vec![team("red", 8.0, 8.0), team("grey", 0.0, 32.0)];
+    World::with(p, vec![host_type("m8", 8.0)])
+}
+
+fn world(picture: StoredPicture) -> World {
+    let mut w = tight();
+    w.c.take_over(w.now, picture);
+    w
+}
+
+/// The tasks that a machine's report is answered with launches of.
+fn launched(directives: &[Directive]) -> Vec<TaskId> {
+    let launch = |d: &Directive| match d {
+        Directive::Launch { task, .. } => Some(task.clone()),
+        _ => None,
+    };
+    directives.iter().filter_map(launch).collect()
+}
+
+fn running(uid: &str, index: u32) -> TaskReport {
+    shown(uid, index, ATTEMPT, TaskPhase::Running)
+}
+
+fn red(w: &World) -> f64 {
+    w.c.team_use.of(&"red".into()).cpus
+}
+
+#[test]
+fn a_record_beyond_the_limit_is_no_leave_to_launch() {
+    // Both jobs are on record with a whole limit each: the first gave its room to the second, and its
+    // record was still there when the leader ended. What i-1 shows -> launched, and used after that.
+    let cases: [(&str, Vec<TaskReport>, f64); 4] = [
+        ("neither came", vec![], 8.0),
+        ("one runs after all", vec![running("wk-000001", 0)], 12.0),
+        (
+            "both run after all",
+            vec![running("wk-000001", 0), running("wk-000001", 1)],
+            16.0,
+        ),
+        (
+            "both were stopped",
+            [0, 1]
+                .map(|i| {
+                    let stopped = Exit::Stopped { stored: false };
+                    shown("wk-000001", i, ATTEMPT, TaskPhase::Ended(stopped))
+                })
+                .to_vec(),
+            8.0,
+        ),
+    ];
+    for (name, on_first, used) in cases {
+        let mut w = world(StoredPicture {
+            jobs: vec![job("wk-000001", 2), job("wk-000002", 2)],
+            chunks: vec![
+                sent("wk-000001", &[0, 1], "i-1"),
+                sent("wk-000002", &[0, 1], "i-2"),
+            ],
+            ..StoredPicture::default()
+        });
+        assert_eq!(red(&w), 16.0, "{name}: all that is on record counts");
+        let (_, directives) = w.heartbeat("i-1", 1, on_first);
+        assert_eq!(launched(&directives), vec![], "{name}");
+        let on_second = vec![running("wk-000002", 0), running("wk-000002", 1)];
+        let (_, directives) = w.heartbeat("i-2", 1, on_second);
+        assert_eq!(launched(&directives), vec![], "{name}");
+        assert_eq!(red(&w), used, "{name}: what is proved absent leaves");
+        assert_eq!(launches(&w.settle()), vec![], "{name}");
+    }
+}
+
+#[test]
+fn what_was_not_launched_beyond_the_limit_starts_once_there_is_room() {
+    let mut w = world(StoredPicture {
+        jobs: vec![job("wk-000001", 1), job("wk-000002", 2)],
+        chunks: vec![
+            sent("wk-000001", &[0], "i-1"),
+            sent("wk-000002", &[0, 1], "i-2"),
+        ],
+        ..StoredPicture::default()
+    });
+    w.heartbeat("i-1", 1, vec![]);
+    w.heartbeat(
+        "i-2",
+        1,
+        vec![running("wk-000002", 0), running("wk-000002", 1)],
+    );
+    let ended = shown("wk-000002", 0, ATTEMPT, TaskPhase::Ended(Exit::Done));
+    w.heartbeat("i-2", 2, vec![ended, running("wk-000002", 1)]);
+    let sent = launches(&w.settle());
+    assert_eq!(sent.len(), 1);
+    assert_eq!(sent[0].1, task("wk-000001", 0));
+    assert_ne!(sent[0].2, ATTEMPT, "as a new attempt");
+}
+
+#[test]
+fn a_report_that_may_be_a_copy_frees_nothing() {
+    let mut w = world(StoredPicture {
+        jobs: vec![job("wk-000001", 2), job("wk-000002", 2)],
+        chunks: vec![
+            sent("wk-000001", &[0, 1], "i-1"),
+            sent("wk-000002", &[0, 1], "i-2"),
+        ],
+        ..StoredPicture::default()
+    });
+    // It shows no token of this term: what was sent before the term may still come.
+    let before = Epoch::first(w.c.term).0 - 1;
+    let r = World::report("i-1", 1, 1, before, vec![]);
+    let answer = w.c.on_report(w.now, r, true);
+    assert!(matches!(answer, Answer::Accept { directives, .. } if directives.is_empty()));
+    assert_eq!(red(&w), 16.0);
+}
+
+#[test]
+fn within_the_limit_a_record_is_launched_again_as_before() {
+    let mut w = world(StoredPicture {
+        jobs: vec![job("wk-000001", 2)],
+        chunks: vec![sent("wk-000001", &[0, 1], "i-1")],
+        ..StoredPicture::default()
+    });
+    let (_, directives) = w.heartbeat("i-1", 1, vec![]);
+    let both = vec![task("wk-000001", 0), task("wk-000001", 1)];
+    assert_eq!(launched(&directives), both);
+}
+
+#[test]
+fn a_record_in_another_zone_is_no_leave_to_launch() {
+    // Tasks of one job that has to stay in one zone, or be spread, in chunks of their own: the first
+    // record outlived its attempt, and the job went on in the other zone.
+    // One zone, spread, zone of the second machine -> the first is launched.
+    let cases = [
+        (true, false, "b", false),
+        (true, false, "a", true),
+        (false, true, "a", false),
+        (false, true, "b", true),
+    ];
+    for (same_place, spread, zone, allowed) in cases {
+        let mut over_two_chunks = job("wk-000001", 66);
+        over_two_chunks.spec.owner = "grey".into();
+        over_two_chunks.spec.need = need(0.1);
+        over_two_chunks.spec.same_place = same_place;
+        over_two_chunks.spec.spread = spread;
+        let others: Vec<u32> = (0..33).collect();
+        let mut w = world(StoredPicture {
+            jobs: vec![over_two_chunks],
+            chunks: vec![
+                sent("wk-000001", &others, "i-2"),
+                sent("wk-000001", &[64], "i-1"),
+            ],
+            ..StoredPicture::default()
+        });
+        let token = w.c.hosts[&HostId::from("i-2")].epoch.0;
+        let tasks = others.iter().map(|i| running("wk-000001", *i)).collect();
+        let mut r = World::report("i-2", 1, 1, token, tasks);
+        r.site = zone.into();
+        w.c.on_report(w.now, r, true);
+        let (_, directives) = w.heartbeat("i-1", 1, vec![]);
+        let launch = !launched(&directives).is_empty();
+        assert_eq!(launch, allowed, "{same_place} {spread} {zone}");
+        let held = w.active("wk-000001", 64).is_some();
+        assert_eq!(held, allowed, "{same_place} {spread} {zone}");
+    }
+}
+
+#[test]
+fn a_zone_that_is_not_known_yet_holds_a_launch_back() {
+    let mut bound = job("wk-000001", 2);
+    bound.spec.same_place = true;
+    let mut w = world(StoredPicture {
+        jobs: vec![bound],
+        chunks: vec![IndexedChunk {
+            value: ChunkValue {
+                done: 0,
+                active: vec![(0, ATTEMPT, "i-1".into()), (1, ATTEMPT, "i-2".into())],
+            },
+            ..sent("wk-000001", &[0], "i-1")
+        }],
+        ..StoredPicture::default()
+    });
+    let (_, directives) = w.heartbeat("i-1", 1, vec![]);
+    assert_eq!(launched(&directives), vec![]);
+    assert!(w.active("wk-000001", 0).is_some(), "it keeps its place");
+    w.heartbeat("i-2", 1, vec![running("wk-000001", 1)]);
+    let (_, directives) = w.heartbeat("i-1", 2, vec![]);
+    assert_eq!(launched(&directives), vec![task("wk-000001", 0)]);
+}
+
+#[test]
+fn members_of_a_gang_that_is_done_count_until_they_are_proved_gone() {
+    // The first member's end marks all done. Its verdict is durable, or not yet.
+    for durable in [false, true] {
+        let mut gang = job("wk-000001", 2);
+        gang.spec.kind = JobKind::Gang;
+        let mut members = sent("wk-000001", &[1], "i-1");
+        members.value.done = 0b11;
+        let over = durable.then(|| (Uid::from("wk-000001"), Verdict::Done));
+        let mut w = world(StoredPicture {
+            jobs: vec![gang, job("wk-000002", 2)],
+            over: over.into_iter().collect(),
+            chunks: vec![members],
+            ..StoredPicture::default()
+        });
+        assert_eq!(red(&w), 4.0);
+        w.heartbeat("i-2", 1, vec![]);
+        let sent = launches(&w.settle());
+        assert_eq!(sent.len(), 1, "room for one beside the member");
+        let first = shown("wk-000002", sent[0].1.index, sent[0].2, TaskPhase::Running);
+        w.heartbeat("i-2", 2, vec![first]);
+        let (_, directives) = w.heartbeat("i-1", 1, vec![]);
+        assert_eq!(launched(&directives), vec![], "it is not started again");
+        assert_eq!(red(&w), 4.0, "proved gone");
+        assert_eq!(launches(&w.settle()).len(), 1);
+        assert!(!w.c.jobs.contains_key(&Uid::from("wk-000001")));
+    }
+}
+
+#[test]
+fn a_task_that_no_record_names_counts_while_it_is_shown() {
+    let mut w = tight();
+    w.heartbeat("i-1", 1, vec![running("wk-000001", 0)]);
+    assert_eq!(red(&w), 0.0, "nothing is known of its job");
+    w.job(spec("wk-000001", 1, 4.0));
+    let (_, directives) = w.heartbeat("i-1", 2, vec![running("wk-000001", 0)]);
+    assert!(matches!(directives[..], [Directive::Kill { .. }]));
+    assert_eq!(red(&w), 4.0);
+    w.job(spec("wk-000002", 2, 4.0));
+    w.heartbeat("i-2", 1, vec![]);
+    assert_eq!(launches(&w.settle()).len(), 1, "room for one more");
+    w.heartbeat("i-1", 3, vec![]);
+    assert_eq!(red(&w), 4.0);
+}
+
+#[test]
+fn a_team_without_settings_or_above_its_limit_starts_nothing_and_hinders_nobody() {
+    let mut unknown = job("wk-000001", 2);
+    unknown.spec.owner = "gone".into();
+    let mut w = world(StoredPicture {
+        jobs: vec![unknown, job("wk-000002", 4), job("wk-000003", 1)],
+        chunks: vec![
+            sent("wk-000001", &[0], "i-1"),
+            // The limit was 16 when these were started.
+            sent("wk-000002", &[0, 1, 2], "i-2"),
+        ],
+        ..StoredPicture::default()
+    });
+    let mut other = spec("wk-000004", 1, 4.0);
+    other.owner = "grey".into();
+    w.job(other);
+    let (_, directives) = w.heartbeat("i-1", 1, vec![]);
+    assert_eq!(launched(&directives), vec![]);
+    let running = [0, 1, 2].map(|i| running("wk-000002", i)).to_vec();
+    w.heartbeat("i-2", 1, running);
+    let started: Vec<TaskId> = launches(&w.settle()).into_iter().map(|l| l.1).collect();
+    assert_eq!(started, vec![task("wk-000004", 0)]);
+    assert_eq!(red(&w), 12.0);
+}
+
+#[test]
+fn what_an_unreadable_record_may_hold_counts_as_taken() {
+    // Its machines are known from its intents, or they cannot be read either.
+    for intents_readable in [true, false] {
+        let uid = Uid::from("wk-000001");
+        let mut w = world(StoredPicture {
+            jobs: vec![job("wk-000002", 1)],
+            chunks: intents_readable
+                .then(|| sent("wk-000001", &[0], "i-1"))
+                .into_iter()
+                .collect(),
+            unreadable_jobs: vec![uid.clone()],
+            unreadable_intents: (!intents_readable).then_some(uid).into_iter().collect(),
+            ..StoredPicture::default()
+        });
+        w.heartbeat("i-2", 1, vec![]);
+        let actions = w.settle();
+        assert_eq!(launches(&actions), vec![], "the team is not known");
+        let returned = actions.iter().any(|a| {
+            let hosts = vec![HostId::from("i-1")];
+            *a == cypressgap::core::cluster::Action::Return { hosts }
+        });
+        assert_eq!(returned, intents_readable);
+        w.c.on_returned(w.now, &["i-1".into()]);
+        w.heartbeat("i-2", 2, vec![]);
+        let started = launches(&w.settle()).len();
+        assert_eq!(started, usize::from(intents_readable));
+    }
+}
+
+#[test]
+fn a_machine_back_at_once_takes_no_command_of_its_earlier_life() {
+    let mut w = tight();
+    w.heartbeat("i-1", 1, vec![]);
+    w.job(spec("wk-000001", 1, 4.0));
+    let launch = launches(&w.settle());
+    let attempt = launch[0].2;
+    let given = w.c.hosts[&HostId::from("i-1")].epoch;
+    let run = shown("wk-000001", 0, attempt, TaskPhase::Running);
+    w.heartbeat("i-1", 2, vec![run]);
+    // Restarted within a report's interval, it counts from the beginning and has seen no token. A copy
+    // of the launch would find the same session, and the attempt forgotten.
+    w.pass(secs(1));
+    let answer =
+        w.c.on_report(w.now, World::report("i-1", 1, 1, 0, vec![]), true);
+    let Answer::Accept { epoch, directives } = answer else {
+        panic!("refused: {answer:?}");
+    };
+    assert!(epoch > given, "{epoch:?} shuts out {given:?}");
+    assert_eq!(directives, vec![]);
+    // Its next report shows that token, so it is believed although it counts below the last one.
+    let r = World::report("i-1", 1, 2, epoch.0, vec![]);
+    w.c.on_report(w.now, r, true);
+    let held = w.active("wk-000001", 0);
+    assert_ne!(
+        held.map(|(_, a)| a),
+        Some(attempt),
+        "the old attempt is gone"
+    );
+}
+
+#[test]
+fn the_account_is_the_sum_of_its_entries() {
+    let teams: [TeamName; 3] = ["red".into(), "blue".into(), "grey".into()];
+    let mut account = TeamUse::default();
+    let mut drawn: u64 = 1;
+    let mut draw = |below: u64| {
+        drawn = drawn
+            .wrapping_mul(6_364_136_223_846_793_005)
+            .wrapping_add(1);
+        (drawn >> 33) % below
+    };
+    for _ in 0..200_000 {
+        let task = task("wk-000001", draw(300) as u32);
+        let owner = &teams[draw(3) as usize];
+        let need = need(0.1 * (1 + draw(99)) as f64);
+        let host = HostId(format!("i-{}", draw(5)));
+        match draw(5) {
+            0 | 1 => account.enter(task, owner, need),
+            2 | 3 => account.leave(&task),
+            _ => account.set_unexpected(&host, &vec![(owner.clone(), need); draw(3) as usize]),
+        }
+    }
+    for owner in &teams {
+        let difference = account.of(owner).cpus - account.recount(owner).cpus;
+        assert!(difference.abs() < 1e-7, "{owner}: {difference}");
+    }
+    // What leaves twice, or was never entered, takes nothing away.
+    let before = account.of(&teams[0]).cpus;
+    account.enter(task("wk-000002", 0), &teams[0], need(2.0));
+    account.leave(&task("wk-000002", 0));
+    account.leave(&task("wk-000002", 0));
+    account.leave(&task("wk-000003", 0));
+    assert!((account.of(&teams[0]).cpus - before).abs() < 1e-9);
+}
