--- a/tests/end_to_end/main.rs
+++ b/tests/end_to_end/main.rs
@@ -7,6 +7,7 @@
 mod side_by_side;
 #[path = "../standins/mod.rs"]
 mod standins;
+mod team_limits;
 
 use cypressgap::core::model::Epoch;
 use cypressgap::runtime::budget::Rank;
--- a/tests/end_to_end/side_by_side.rs
+++ b/tests/end_to_end/side_by_side.rs
@@ -66,28 +66,11 @@
 }
 
 fn record(uid: &str, need: &str) -> Any {
-    let amounts = [2.0, 0.0, 4.0].map(Any::Float).to_vec();
-    map([
-        ("uid", t(uid)),
-        ("class", t("plain")),
-        ("owner", t("vision")),
-        ("gang", Any::Bool(false)),
-        ("urgency", Any::Int(1)),
-        ("shards", Any::Int(1)),
-        ("need", Any::List(amounts)),
-        ("types", Any::Nil(())),
-        ("site", Any::Nil(())),
-        ("same_place", Any::Bool(false)),
-        ("spread", Any::Bool(false)),
-        ("spot", Any::Bool(true)),
-        ("image", Any::List(vec![t("img-1"), Any::Float(1.0)])),
-        ("expected", Any::Float(1.0)),
-        ("every", Any::Float(0.0)),
-        ("save", Any::Float(0.0)),
-        ("due", Any::Nil(())),
-        ("at", Any::Int(7)),
-        ("needs", Any::List(vec![t(need)])),
-    ])
+    let mut record = job_record(uid, 1);
+    if let Any::Map(fields) = &mut record {
+        fields.insert("needs".to_owned(), Any::List(vec![t(need)]));
+    }
+    record
 }
 
 fn accepts(node: std::net::SocketAddr, uid: &str, needs: &[&str]) {
--- /dev/null
+++ b/tests/end_to_end/team_limits.rs
@@ -0,0 +1,99 @@
+//! What a whole node makes of records that a leader left behind: a team's limit holds on the machines.
+
+use crate::standins::site::{job_record, phase, until, Site};
+use crate::standins::{call, map, t, Any, Worker};
+use cypressgap::settings::Settings;
+use std::time::{Duration, Instant};
+
+/// What a task of a job record takes; the team's limit has room for two.
+const TASK_CPUS: f64 = 2.0;
+const LIMIT_CPUS: f64 = 4.0;
+/// The term that left the records behind, above the sequence of a token.
+const EARLIER_ATTEMPT: u64 = 1 << 28;
+
+fn limited(settings: &mut Settings) {
+    settings.params.teams[0].cpus = None;
+    settings.params.teams[0].cpus_max = Some(LIMIT_CPUS);
+}
+
+/// Two tasks of a job, on record as sent to a machine.
+fn intents(host: &str) -> Any {
+    let sent = [0, 1].map(|task| {
+        let attempt = Any::Int(EARLIER_ATTEMPT + task);
+        Any::List(vec![Any::Int(task), attempt, t(host)])
+    });
+    map([("d", Any::Int(0)), ("a", Any::List(sent.to_vec()))])
+}
+
+/// The leader before had proved the first job's tasks gone, given their room to the second job, and ended
+/// before it removed the first job's record.
+#[test]
+fn records_beyond_a_teams_limit_are_not_launched_by_a_new_leader() {
+    let site = Site::new(1);
+    let long = Duration::from_secs(3600);
+    let workers = ["i-1", "i-2"].map(|name| Worker::start(name, long, site.names.clone()));
+    for (worker, name) in workers.iter().zip(["i-1", "i-2"]) {
+        let entry = (name.to_owned(), worker.endpoint());
+        site.listed.lock().expect("the list").push(entry);
+    }
+    for (uid, host) in [("wk-000001", "i-1"), ("wk-000002", "i-2")] {
+        site.state.put(&format!("q/l/{uid}"), job_record(uid, 2));
+        site.state.put(&format!("i/{uid}/0"), intents(host));
+    }
+    let launches = [0, 1].map(|task| {
+        map([
+            ("Verb", t("launch")),
+            ("Shard", t(&format!("wk-000002/{task}"))),
+            ("Try", Any::Int(EARLIER_ATTEMPT + task)),
+        ])
+    });
+    let command = map([
+        ("Epoch", Any::Int(1)),
+        ("Tenure", Any::Int(1)),
+        ("Directives", Any::List(launches.to_vec())),
+    ]);
+    let endpoint = workers[1].endpoint().parse().expect("an address");
+    assert_eq!(call("POST", endpoint, "/commands", Some(&command)).0, 200);
+    let node = site.start_with(0, limited);
+    let used = || workers.iter().map(Worker::running).sum::<usize>() as f64 * TASK_CPUS;
+    let shown = |worker: &Worker| (worker.epoch() > 1).then_some(());
+    for worker in &workers {
+        until("the leader's token", || shown(worker));
+    }
+    // Far longer than a report, a round and a write take.
+    let quiet = Instant::now();
+    while quiet.elapsed() < Duration::from_secs(4) {
+        let used = used();
+        assert!(used <= LIMIT_CPUS, "the team uses {used}");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    assert_eq!(workers[0].starts(), vec![]);
+    // Once the second job ends, the first one runs.
+    workers.iter().for_each(|w| w.runs_for(Duration::ZERO));
+    for uid in ["wk-000002", "wk-000001"] {
+        until("done", || {
+            (phase(site.names[0].1, uid)? == "done").then_some(())
+        });
+    }
+    node.stop();
+}
+
+/// A record that this version cannot read keeps no other job from running, is left as it is, and what
+/// it may hold is never counted as free.
+#[test]
+fn an_unreadable_record_is_left_alone_and_its_machine_goes_back() {
+    let site = Site::new(1);
+    let worker = Worker::start("i-2", Duration::ZERO, site.names.clone());
+    let entry = ("i-2".to_owned(), worker.endpoint());
+    site.listed.lock().expect("the list").push(entry);
+    site.state.put("q/l/wk-000001", t("of a later version"));
+    site.state.put("i/wk-000001/0", intents("i-1"));
+    site.state.put("q/l/wk-000002", job_record("wk-000002", 2));
+    let node = site.start_with(0, limited);
+    until("done", || {
+        (phase(site.names[0].1, "wk-000002")? == "done").then_some(())
+    });
+    assert_eq!(site.state.keys("q/l/wk-000001"), vec!["q/l/wk-000001"]);
+    assert_eq!(site.state.keys("i/wk-000001/"), vec!["i/wk-000001/0"]);
+    node.stop();
+}
--- a/tests/standins/site.rs
+++ b/tests/standins/site.rs
@@ -106,6 +106,31 @@
     ])
 }
 
+/// A job as the state service keeps it.
+pub fn job_record(uid: &str, shards: u64) -> Any {
+    let amounts = [2.0, 0.0, 4.0].map(Any::Float).to_vec();
+    map([
+        ("uid", t(uid)),
+        ("class", t("plain")),
+        ("owner", t("vision")),
+        ("gang", Any::Bool(false)),
+        ("urgency", Any::Int(1)),
+        ("shards", Any::Int(shards)),
+        ("need", Any::List(amounts)),
+        ("types", Any::Nil(())),
+        ("site", Any::Nil(())),
+        ("same_place", Any::Bool(false)),
+        ("spread", Any::Bool(false)),
+        ("spot", Any::Bool(true)),
+        ("image", Any::List(vec![t("img-1"), Any::Float(1.0)])),
+        ("expected", Any::Float(1.0)),
+        ("every", Any::Float(0.0)),
+        ("save", Any::Float(0.0)),
+        ("due", Any::Nil(())),
+        ("at", Any::Int(7)),
+    ])
+}
+
 pub fn submit(node: SocketAddr, uid: &str, shards: u64) {
     let body = submission(uid, shards);
     until("accepted", || {
