--- a/tests/team_limits.rs
+++ b/tests/team_limits.rs
@@ -9,7 +9,13 @@
 mod common;
 mod simulation;
 
+use common::{need, secs, spec, team};
+use cypressgap::core::model::{Attempt, TaskId, TaskPhase};
+use simulation::truth::Truth;
+use simulation::worker::{Worker, WorkerTask};
 use simulation::{Simulation, Troubles};
+use std::sync::Arc;
+use std::time::Instant;
 
 const STEPS_A_SECOND: u64 = 10;
 const SECONDS: u64 = 120;
@@ -74,3 +80,67 @@
     let known = &WITHOUT_THE_CHECK_LEADERS_END;
     search("leaders end", Troubles::leaders, known);
 }
+
+/// A machine in a zone that runs these tasks of a job of 4 processors a task.
+fn machine(name: &str, site: &str, needs: Option<&str>, tasks: &[u32]) -> Worker {
+    let now = Instant::now();
+    let kind = ("m8".into(), need(8.0));
+    let mut worker = Worker::new(name.into(), kind, site.into(), false, now);
+    let mut job = spec("wk-000001", 4, 4.0);
+    job.same_place = true;
+    job.needs = needs.into_iter().map(Into::into).collect();
+    let job = Arc::new(job);
+    for index in tasks {
+        let task = TaskId {
+            uid: "wk-000001".into(),
+            index: *index,
+        };
+        let running = WorkerTask {
+            spec: job.clone(),
+            phase: TaskPhase::Running,
+            until: now + secs(60),
+        };
+        worker.tasks.insert((task, Attempt(1)), running);
+    }
+    worker
+}
+
+#[test]
+fn the_count_sees_each_rule_broken() {
+    // The rule, and what breaks it: the second machine's zone and tasks, what the job needs, and how
+    // long ago it was cancelled.
+    type Case<'a> = (
+        Option<&'a str>,
+        &'a str,
+        &'a [u32],
+        Option<&'a str>,
+        Option<u64>,
+    );
+    let cases: [Case; 7] = [
+        (None, "a", &[1], None, None),
+        (None, "a", &[1], None, Some(49)),
+        (Some("ran_cancelled"), "a", &[1], None, Some(51)),
+        (Some("quota"), "a", &[1, 2], None, None),
+        (Some("ran_twice"), "a", &[0], None, None),
+        (Some("wrong_place"), "b", &[1], None, None),
+        (Some("too_early"), "a", &[1], Some("wk-000009"), None),
+    ];
+    for (rule, site, tasks, needs, cancelled) in cases {
+        let now = Instant::now() + secs(100);
+        let mut truth = Truth::default();
+        if let Some(ago) = cancelled {
+            truth.cancelled.insert("wk-000001".into(), now - secs(ago));
+        }
+        let workers = [
+            machine("i-1", "a", needs, &[0]),
+            machine("i-2", site, needs, tasks),
+        ];
+        let teams = [team("red", 0.0, 8.0)];
+        let broken = truth.look(now, workers.iter(), &teams, secs(50), |_| None);
+        let found = broken.first().map(String::as_str);
+        match rule {
+            Some(rule) => assert!(found.is_some_and(|f| f.starts_with(rule)), "{broken:?}"),
+            None => assert_eq!(found, None),
+        }
+    }
+}
