--- /dev/null
+++ b/deploy/operators.lisp
@@ -0,0 +1,3 @@
+; The operators' settings that `run` in deploy/service.toml uses. Each subsystem that is newer than the
+; scheduler itself has its switch here; docs/operations.md lists the names, ranges and defaults.
+(cypressgap)
