crates/recovery: reconciliation, order pacing and silence by segment, as pure decisions

Need: after a power fault every controller may be down while workers go on. What workers report has to be matched against the stored state before any order is issued, and machines must get no burst of orders.

Change: a package of its own, without input, output or clocks. A state machine for each attempt on record, whose table stands in docs/recovery.md and is compared with the code by a test; work that no record names is held until the state service has been asked; token buckets for the fleet and each network segment (`ipnet`), which hold for any second, start nearly empty and refill as machines acknowledge; machines that wait go before those that just reported; silence told apart by machine, segment, site and fleet; phases, counts and times (`hdrhistogram`). Attempts tell their term.

Nothing uses it yet.

--- a/crates/model/src/tokens.rs
+++ b/crates/model/src/tokens.rs
@@ -28,3 +28,16 @@
 /// An attempt's number, unique over all terms.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct Attempt(pub u64);
+
+const ATTEMPT_BITS: u32 = 28;
+
+impl Attempt {
+    /// An attempt of a term, by its number in that term.
+    pub fn of(term: Term, number: u64) -> Attempt {
+        Attempt((term.0 << ATTEMPT_BITS) | number)
+    }
+    /// The term that decided on it.
+    pub fn term(self) -> Term {
+        Term(self.0 >> ATTEMPT_BITS)
+    }
+}
--- /dev/null
+++ b/crates/recovery/src/attempt_state.rs
@@ -0,0 +1,112 @@
+//! What a term knows of one attempt: a state machine from the record to the proof.
+//!
+//! The table of transitions stands in `docs/recovery.md` as well, and a test compares the two.
+
+use std::fmt;
+
+/// What is known of an attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum AttemptState {
+    /// On record, and its machine has told nothing about it yet.
+    Unheard,
+    /// On record, and its machine shows it.
+    Confirmed,
+    /// On record, and proved not to be on its machine.
+    Absent,
+    /// On record, and its machine has missed its reports. Proves nothing.
+    Silent,
+    /// Its machine's lease has certainly run out, or the machine is gone.
+    Expired,
+    /// Shown by a machine, and no record names it.
+    Unrecorded,
+}
+
+/// What was learned of an attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Evidence {
+    /// Its machine's report lists it.
+    Shown,
+    /// A report without it that shows this term's token: it was sent after the term began.
+    NotShown,
+    /// A report without it that shows an earlier token: it may be a late copy.
+    NotShownEarlier,
+    /// Its machine has missed its reports.
+    HostSilent,
+    /// Its machine's lease has certainly run out, or the machine is gone.
+    LeaseExpired,
+    /// A record of it was written.
+    Recorded,
+}
+
+impl AttemptState {
+    /// All states, in the order of the table.
+    pub const ALL: [AttemptState; 6] = [
+        AttemptState::Unheard,
+        AttemptState::Confirmed,
+        AttemptState::Absent,
+        AttemptState::Silent,
+        AttemptState::Expired,
+        AttemptState::Unrecorded,
+    ];
+
+    /// The state after a piece of evidence.
+    pub fn after(self, evidence: Evidence) -> AttemptState {
+        use AttemptState::{Absent, Confirmed, Expired, Silent, Unheard, Unrecorded};
+        match (self, evidence) {
+            // The lease's end is final: what is shown afterwards was sent before.
+            (Expired, _) | (_, Evidence::LeaseExpired) => Expired,
+            (Unrecorded, Evidence::Recorded) => Confirmed,
+            (Unrecorded, Evidence::NotShown) => Expired,
+            (Unrecorded, _) => Unrecorded,
+            (state, Evidence::Recorded) => state,
+            (_, Evidence::Shown) => Confirmed,
+            (_, Evidence::NotShown) => Absent,
+            (Silent, Evidence::NotShownEarlier) => Unheard,
+            (state, Evidence::NotShownEarlier) => state,
+            // No order was sent since the proof, so silence takes nothing from it.
+            (Absent, Evidence::HostSilent) => Absent,
+            (_, Evidence::HostSilent) => Silent,
+        }
+    }
+
+    /// Whether the attempt may be launched on its machine.
+    pub fn allows_launch(self) -> bool {
+        self == AttemptState::Absent
+    }
+
+    /// Whether something is certain: that it runs there, or that it does not.
+    pub fn is_settled(self) -> bool {
+        use AttemptState::{Absent, Confirmed, Expired};
+        matches!(self, Confirmed | Absent | Expired)
+    }
+
+    /// Its name in tables and log lines.
+    pub fn name(self) -> &'static str {
+        match self {
+            AttemptState::Unheard => "unheard",
+            AttemptState::Confirmed => "confirmed",
+            AttemptState::Absent => "absent",
+            AttemptState::Silent => "silent",
+            AttemptState::Expired => "expired",
+            AttemptState::Unrecorded => "unrecorded",
+        }
+    }
+}
+
+impl fmt::Display for AttemptState {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.name())
+    }
+}
+
+impl Evidence {
+    /// All kinds of evidence, in the order of the table.
+    pub const ALL: [Evidence; 6] = [
+        Evidence::Shown,
+        Evidence::NotShown,
+        Evidence::NotShownEarlier,
+        Evidence::HostSilent,
+        Evidence::LeaseExpired,
+        Evidence::Recorded,
+    ];
+}
--- /dev/null
+++ b/crates/recovery/src/orders.rs
@@ -0,0 +1,220 @@
+//! Orders that went out and that no report has acknowledged, and machines whose orders wait for the pace.
+
+use crate::pacing::{OrderClass, OrderPace};
+use crate::segments::Segment;
+use crate::settings::Paces;
+use cypressgap_model::{Attempt, HostId, TaskId};
+use fnv::FnvHasher;
+use std::collections::{BTreeSet, HashMap, VecDeque};
+use std::hash::{Hash, Hasher};
+use std::time::{Duration, Instant};
+
+/// An order that was not acknowledged may be repeated after this long, and twice as long each time.
+const RETRY_AFTER: Duration = Duration::from_secs(2);
+const MOST_DOUBLINGS: u32 = 3;
+/// Times of retries differ by up to this part, so that machines do not come in step.
+const RETRY_JITTER: f64 = 0.25;
+
+/// What is ordered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum OrderKind {
+    /// Start an attempt.
+    Launch,
+    /// Stop an attempt.
+    Kill,
+    /// Leave an ended attempt out of later reports.
+    Forget,
+}
+
+/// An order to a machine.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Order {
+    /// What is ordered.
+    pub kind: OrderKind,
+    /// Of which task.
+    pub task: TaskId,
+    /// Of which attempt.
+    pub attempt: Attempt,
+}
+
+/// An order that went out.
+#[derive(Clone, Debug)]
+struct SentOrder {
+    order: Order,
+    /// It may be repeated from then on.
+    retry_at: Instant,
+    repeats: u32,
+}
+
+/// What went to one machine.
+#[derive(Clone, Debug)]
+struct HostOrders {
+    segment: Segment,
+    sent: Vec<SentOrder>,
+}
+
+/// Paces orders, by machine.
+#[derive(Clone, Debug)]
+pub struct OrderPacer {
+    pace: OrderPace,
+    hosts: HashMap<HostId, HostOrders>,
+    /// Machines with orders that wait, first come first served.
+    waiting: VecDeque<HostId>,
+    is_waiting: BTreeSet<HostId>,
+    /// Machines whose turn it is.
+    in_turn: BTreeSet<HostId>,
+    last_deferral: Option<Instant>,
+    /// Orders given out and orders put off so far.
+    given: u64,
+    deferred: u64,
+}
+
+impl OrderPacer {
+    /// Nothing was sent yet, and all buckets are empty.
+    pub fn new(paces: Paces, now: Instant) -> OrderPacer {
+        OrderPacer {
+            pace: OrderPace::new(paces, now),
+            hosts: HashMap::new(),
+            waiting: VecDeque::new(),
+            is_waiting: BTreeSet::new(),
+            in_turn: BTreeSet::new(),
+            last_deferral: None,
+            given: 0,
+            deferred: 0,
+        }
+    }
+
+    /// Whether an order may go out now; it is charged then. Otherwise its machine waits for the pace.
+    pub fn admit(
+        &mut self,
+        now: Instant,
+        host: &HostId,
+        segment: &Segment,
+        order: Order,
+        class: OrderClass,
+    ) -> bool {
+        let repeats = match self.sent(host, &order) {
+            // Kills are pressed as often as their wind-down asks for it.
+            Some(sent) if order.kind != OrderKind::Kill && now < sent.retry_at => return false,
+            Some(sent) => sent.repeats + 1,
+            None => 0,
+        };
+        // Machines that wait go before those whose report just came.
+        let queued = class == OrderClass::Ordinary
+            && !self.waiting.is_empty()
+            && !self.in_turn.contains(host);
+        if queued || !self.pace.admit(now, segment, class) {
+            self.defer(now, host);
+            return false;
+        }
+        self.given += 1;
+        self.note_sent(now, host, segment, order, repeats);
+        true
+    }
+
+    fn sent(&self, host: &HostId, order: &Order) -> Option<&SentOrder> {
+        let orders = self.hosts.get(host)?;
+        orders.sent.iter().find(|sent| sent.order == *order)
+    }
+
+    fn note_sent(
+        &mut self,
+        now: Instant,
+        host: &HostId,
+        segment: &Segment,
+        order: Order,
+        repeats: u32,
+    ) {
+        let retry_at = now + retry_after(host, &order, repeats);
+        let orders = self
+            .hosts
+            .entry(host.clone())
+            .or_insert_with(|| HostOrders {
+                segment: segment.clone(),
+                sent: Vec::new(),
+            });
+        let before = orders.sent.len();
+        orders.sent.retain(|sent| sent.order != order);
+        let repeated = before - orders.sent.len();
+        orders.sent.push(SentOrder {
+            order,
+            retry_at,
+            repeats,
+        });
+        // The repeated order counts once.
+        self.pace.acknowledged(segment, repeated);
+    }
+
+    fn defer(&mut self, now: Instant, host: &HostId) {
+        self.deferred += 1;
+        self.last_deferral = Some(now);
+        self.in_turn.remove(host);
+        if self.is_waiting.insert(host.clone()) {
+            self.waiting.push_back(host.clone());
+        }
+    }
+
+    /// A message of a machine shows what became of its orders.
+    pub fn acknowledge(&mut self, host: &HostId, carried_out: impl Fn(&Order) -> bool) {
+        let Some(orders) = self.hosts.get_mut(host) else {
+            return;
+        };
+        let before = orders.sent.len();
+        orders.sent.retain(|sent| !carried_out(&sent.order));
+        let acknowledged = before - orders.sent.len();
+        self.pace.acknowledged(&orders.segment, acknowledged);
+        if orders.sent.is_empty() {
+            self.hosts.remove(host);
+        }
+    }
+
+    /// Nothing more is expected from a machine.
+    pub fn host_gone(&mut self, host: &HostId) {
+        self.in_turn.remove(host);
+        if self.is_waiting.remove(host) {
+            self.waiting.retain(|waiting| waiting != host);
+        }
+        self.acknowledge(host, |_| true);
+    }
+
+    /// Machines whose turn it is now: as many as the pace has room for. An order that goes only with the
+    /// answer to a report is given with the next one.
+    pub fn take_waiting(&mut self, now: Instant) -> Vec<HostId> {
+        if self.waiting.is_empty() {
+            return Vec::new();
+        }
+        let most = self.pace.left(now).min(self.waiting.len());
+        let taken: Vec<HostId> = self.waiting.drain(..most).collect();
+        for host in &taken {
+            self.is_waiting.remove(host);
+        }
+        self.in_turn.extend(taken.iter().cloned());
+        taken
+    }
+
+    /// Whether an order was put off within this time, or machines still wait.
+    pub fn is_busy(&self, now: Instant, quiet: Duration) -> bool {
+        let lately = |t: Instant| now.saturating_duration_since(t) < quiet;
+        !self.waiting.is_empty() || self.last_deferral.is_some_and(lately)
+    }
+
+    /// Orders given out so far.
+    pub fn given(&self) -> u64 {
+        self.given
+    }
+
+    /// Orders put off so far.
+    pub fn deferred(&self) -> u64 {
+        self.deferred
+    }
+}
+
+/// When an order may be repeated. The same machine and order always give the same jitter.
+fn retry_after(host: &HostId, order: &Order, repeats: u32) -> Duration {
+    let mut hasher = FnvHasher::default();
+    (host, order, repeats).hash(&mut hasher);
+    let part = hasher.finish() as f64 / u64::MAX as f64;
+    let jitter = 1.0 + RETRY_JITTER * (2.0 * part - 1.0);
+    let doubled = RETRY_AFTER * (1 << repeats.min(MOST_DOUBLINGS));
+    doubled.mul_f64(jitter)
+}
--- /dev/null
+++ b/crates/recovery/src/reconciliation.rs
@@ -0,0 +1,137 @@
+//! The states of the attempts that were on record when a term began.
+//!
+//! An attempt enters with its record and leaves once the term has an order or a proof of its own for it:
+//! it was launched again, it ended, or it was proved gone. Attempts that the term itself decides on never
+//! enter.
+
+use crate::attempt_state::{AttemptState, Evidence};
+use cypressgap_model::{Attempt, HostId, TaskId};
+use std::collections::BTreeMap;
+
+/// How many attempts are in each state.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct StateCounts {
+    counts: [usize; AttemptState::ALL.len()],
+}
+
+impl StateCounts {
+    fn slot(&mut self, state: AttemptState) -> &mut usize {
+        &mut self.counts[state as usize]
+    }
+
+    /// Attempts in this state.
+    pub fn of(&self, state: AttemptState) -> usize {
+        self.counts[state as usize]
+    }
+
+    /// Attempts of which nothing is certain yet.
+    pub fn unsettled(&self) -> usize {
+        let states = AttemptState::ALL.into_iter();
+        let unsettled = states.filter(|state| !state.is_settled());
+        unsettled.map(|state| self.of(state)).sum()
+    }
+
+    /// Attempts in all states.
+    pub fn total(&self) -> usize {
+        self.counts.iter().sum()
+    }
+}
+
+/// One attempt on record.
+#[derive(Clone, Copy, Debug)]
+struct Recorded {
+    attempt: Attempt,
+    state: AttemptState,
+}
+
+/// The attempts on record, by machine and task. A task has one attempt on record at a time.
+#[derive(Debug, Default)]
+pub struct Reconciliation {
+    hosts: BTreeMap<HostId, BTreeMap<TaskId, Recorded>>,
+    counts: StateCounts,
+}
+
+impl Reconciliation {
+    /// An attempt found on record.
+    pub fn record(&mut self, host: HostId, task: TaskId, attempt: Attempt) {
+        let state = AttemptState::Unheard;
+        let recorded = Recorded { attempt, state };
+        let before = self.hosts.entry(host).or_default().insert(task, recorded);
+        if let Some(before) = before {
+            *self.counts.slot(before.state) -= 1;
+        }
+        *self.counts.slot(state) += 1;
+    }
+
+    /// The state of an attempt; None: it is this term's own, or settled for good.
+    pub fn state(&self, host: &HostId, task: &TaskId, attempt: Attempt) -> Option<AttemptState> {
+        let recorded = self.hosts.get(host)?.get(task)?;
+        (recorded.attempt == attempt).then_some(recorded.state)
+    }
+
+    /// A report of a machine. `shows`: whether it lists an attempt; `current`: it shows this term's token.
+    /// Returns how many attempts became certain by it.
+    pub fn observe_report(
+        &mut self,
+        host: &HostId,
+        current: bool,
+        shows: impl Fn(&TaskId, Attempt) -> bool,
+    ) -> usize {
+        self.observe(host, |task, attempt| {
+            if shows(task, attempt) {
+                Evidence::Shown
+            } else if current {
+                Evidence::NotShown
+            } else {
+                Evidence::NotShownEarlier
+            }
+        })
+    }
+
+    /// Evidence that concerns all attempts on a machine. Returns how many became certain by it.
+    pub fn observe_host(&mut self, host: &HostId, evidence: Evidence) -> usize {
+        self.observe(host, |_, _| evidence)
+    }
+
+    fn observe(&mut self, host: &HostId, evidence: impl Fn(&TaskId, Attempt) -> Evidence) -> usize {
+        let Some(attempts) = self.hosts.get_mut(host) else {
+            return 0;
+        };
+        let mut settled = 0;
+        for (task, recorded) in attempts.iter_mut() {
+            let before = recorded.state;
+            recorded.state = before.after(evidence(task, recorded.attempt));
+            *self.counts.slot(before) -= 1;
+            *self.counts.slot(recorded.state) += 1;
+            settled += usize::from(!before.is_settled() && recorded.state.is_settled());
+        }
+        settled
+    }
+
+    /// An attempt leaves: it was launched by this term, ended, or was proved gone. Returns the state that
+    /// it was in.
+    pub fn remove(&mut self, host: &HostId, task: &TaskId) -> Option<AttemptState> {
+        let attempts = self.hosts.get_mut(host)?;
+        let removed = attempts.remove(task)?;
+        if attempts.is_empty() {
+            self.hosts.remove(host);
+        }
+        *self.counts.slot(removed.state) -= 1;
+        Some(removed.state)
+    }
+
+    /// Machines that hold attempts on record.
+    pub fn hosts(&self) -> impl Iterator<Item = &HostId> {
+        self.hosts.keys()
+    }
+
+    /// How many attempts are in each state.
+    pub fn counts(&self) -> StateCounts {
+        self.counts
+    }
+
+    /// Nothing is left to be reconciled.
+    pub fn is_empty(&self) -> bool {
+        self.hosts.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/recovery/src/takeover.rs
@@ -0,0 +1,318 @@
+//! A takeover as the scheduler's core sees it: evidence in, leave to order out.
+//!
+//! With nothing to reconcile it is over from the beginning, and every question is answered at once.
+
+use crate::attempt_state::{AttemptState, Evidence};
+use crate::orders::{Order, OrderKind, OrderPacer};
+use crate::pacing::{OrderClass, RentalPace};
+use crate::progress::{Progress, Remaining, Summary, TakeoverPhase};
+use crate::reconciliation::{Reconciliation, StateCounts};
+use crate::segments::{Segment, SegmentMap};
+use crate::settings::{Deployment, RecoverySettings, CANCELLATION_PART};
+use crate::silence::{SilenceScope, SilenceSurvey};
+use crate::unrecorded::{Disposition, StoreAnswer, UnrecordedWork};
+use cypressgap_model::{Attempt, HostId, Site, TaskId, Uid};
+use std::collections::BTreeSet;
+use std::time::{Duration, Instant};
+
+/// Orders are paced for this long after the last one that had to wait.
+const QUIET: Duration = Duration::from_secs(5);
+/// And, once everything on record is settled, for no more than so many orders for each attempt on record: to
+/// start it, to end it, and to start what comes next. A pace below what the fleet's daily work asks for would
+/// hold that up for good.
+const ORDERS_FOR_EACH: u64 = 3;
+
+/// A change of phase, for the log.
+#[derive(Clone, Debug)]
+pub struct PhaseChange {
+    /// The phase that begins.
+    pub phase: TakeoverPhase,
+    /// Attempts on record, by state.
+    pub counts: StateCounts,
+    /// Jobs of which machines show work that no record names.
+    pub unrecorded_jobs: usize,
+    /// Orders that were put off so far.
+    pub deferred: u64,
+    /// The takeover in figures.
+    pub summary: Summary,
+}
+
+/// One term's takeover.
+#[derive(Debug)]
+pub struct Takeover {
+    enabled: bool,
+    segments: SegmentMap,
+    reconciliation: Reconciliation,
+    unrecorded: UnrecordedWork,
+    orders: OrderPacer,
+    rentals: RentalPace,
+    silence: SilenceSurvey,
+    progress: Progress,
+}
+
+impl Takeover {
+    /// A term begins; nothing is on record yet.
+    pub fn new(settings: &RecoverySettings, deployment: Deployment, now: Instant) -> Takeover {
+        Takeover {
+            enabled: settings.enabled,
+            segments: SegmentMap::new(&settings.segments, settings.prefixes),
+            reconciliation: Reconciliation::default(),
+            unrecorded: UnrecordedWork::new(settings.unrecorded_hold),
+            orders: OrderPacer::new(settings.paces(deployment), now),
+            rentals: RentalPace::new(settings.replacements_per_second),
+            silence: SilenceSurvey::default(),
+            progress: Progress::new(now),
+        }
+    }
+
+    /// An attempt found on record.
+    pub fn record(&mut self, host: HostId, task: TaskId, attempt: Attempt) {
+        self.reconciliation.record(host, task, attempt);
+    }
+
+    /// All records are read.
+    pub fn begin(&mut self) {
+        self.progress.begin(self.reconciliation.counts().total());
+    }
+
+    /// Whether it is over: everything on record is settled and no order waits.
+    pub fn is_over(&self) -> bool {
+        self.progress.phase() == TakeoverPhase::Over
+    }
+
+    // --- evidence ---
+
+    /// A report. `current`: it shows this term's token.
+    pub fn on_report(
+        &mut self,
+        now: Instant,
+        host: &HostId,
+        current: bool,
+        shows: impl Fn(&TaskId, Attempt) -> bool,
+    ) {
+        if self.reconciliation.is_empty() {
+            return;
+        }
+        let settled = self.reconciliation.observe_report(host, current, shows);
+        self.progress.settled(now, settled);
+    }
+
+    /// A machine has missed its reports.
+    pub fn on_silence(&mut self, host: &HostId) {
+        self.reconciliation.observe_host(host, Evidence::HostSilent);
+    }
+
+    /// A machine's lease has certainly run out, or it is gone.
+    pub fn on_lease_expired(&mut self, now: Instant, host: &HostId) {
+        let evidence = Evidence::LeaseExpired;
+        let settled = self.reconciliation.observe_host(host, evidence);
+        self.progress.settled(now, settled);
+        self.unrecorded.host_cleared(host);
+        self.orders.host_gone(host);
+    }
+
+    /// An attempt ended, or is proved gone.
+    pub fn on_gone(&mut self, now: Instant, host: &HostId, task: &TaskId) {
+        let state = self.reconciliation.remove(host, task);
+        if state.is_some_and(|state| !state.is_settled()) {
+            self.progress.settled(now, 1);
+        }
+    }
+
+    /// Machines that hold attempts on record.
+    pub fn recorded_hosts(&self) -> impl Iterator<Item = &HostId> {
+        self.reconciliation.hosts()
+    }
+
+    /// The state of an attempt on record; None: it is this term's own.
+    pub fn state(&self, host: &HostId, task: &TaskId, attempt: Attempt) -> Option<AttemptState> {
+        self.reconciliation.state(host, task, attempt)
+    }
+
+    // --- work that no record names ---
+
+    /// The jobs unknown to the leader of which a machine shows tasks. Returns those that are new.
+    pub fn unknown_jobs_shown(
+        &mut self,
+        now: Instant,
+        host: &HostId,
+        current: bool,
+        jobs: BTreeSet<Uid>,
+    ) -> Vec<Uid> {
+        if jobs.is_empty() && self.unrecorded.is_empty() {
+            return Vec::new();
+        }
+        let new = self.unrecorded.shown(now, host, current, jobs);
+        if !new.is_empty() {
+            self.progress.reopen();
+        }
+        new
+    }
+
+    /// What becomes of the tasks of an unknown job.
+    pub fn disposition(&self, now: Instant, uid: &Uid) -> Disposition {
+        self.unrecorded.disposition(now, uid)
+    }
+
+    /// Jobs that the state service is to be asked about.
+    pub fn jobs_to_ask(&self) -> Vec<Uid> {
+        self.unrecorded.to_ask().cloned().collect()
+    }
+
+    /// The state service's answer about a job.
+    pub fn on_store_answer(&mut self, now: Instant, uid: &Uid, answer: StoreAnswer) {
+        self.unrecorded.answered(now, uid, answer);
+    }
+
+    /// Whether a machine holds tasks whose size is not known.
+    pub fn holds_host(&self, host: &HostId) -> bool {
+        self.unrecorded.holds_host(host)
+    }
+
+    /// Whether tasks whose team is not known may be on machines.
+    pub fn may_use_any_team(&self) -> bool {
+        !self.unrecorded.is_empty() && self.unrecorded.may_use_any_team()
+    }
+
+    /// A task that no record named was adopted.
+    pub fn on_adopted(&mut self) {
+        self.progress.adopted();
+        self.progress.reopen();
+    }
+
+    // --- orders ---
+
+    /// Whether an attempt may be launched as far as this term knows what became of it before.
+    pub fn allows_launch(&self, host: &HostId, task: &TaskId, attempt: Attempt) -> bool {
+        let state = self.reconciliation.state(host, task, attempt);
+        state.is_none_or(AttemptState::allows_launch)
+    }
+
+    /// How long a kill may wait. `cancelled_for`: how long ago its job was cancelled, of `cancel` that
+    /// its end may take.
+    pub fn kill_class(
+        cancelled_for: Option<Duration>,
+        cancel: Duration,
+        has_time_limit: bool,
+    ) -> OrderClass {
+        match cancelled_for {
+            Some(passed) if passed >= cancel.mul_f64(CANCELLATION_PART) => OrderClass::Immediate,
+            Some(_) => OrderClass::Prompt,
+            None if has_time_limit => OrderClass::Prompt,
+            None => OrderClass::Ordinary,
+        }
+    }
+
+    /// Whether an order may go out now. If it may not, its machine is among those that
+    /// [`Takeover::waiting_hosts`] names later.
+    pub fn admit(
+        &mut self,
+        now: Instant,
+        host: &HostId,
+        endpoint: &str,
+        order: Order,
+        class: OrderClass,
+    ) -> bool {
+        if self.is_over() {
+            return true;
+        }
+        if self.enabled {
+            let segment = self.segments.of_endpoint(endpoint);
+            let launch = (order.kind == OrderKind::Launch).then(|| order.task.clone());
+            if !self.orders.admit(now, host, &segment, order, class) {
+                return false;
+            }
+            self.launched(host, launch);
+        } else if order.kind == OrderKind::Launch {
+            self.launched(host, Some(order.task));
+        }
+        self.progress.ordered(now);
+        true
+    }
+
+    /// From its launch on an attempt is this term's own.
+    fn launched(&mut self, host: &HostId, task: Option<TaskId>) {
+        if let Some(task) = task {
+            self.reconciliation.remove(host, &task);
+        }
+    }
+
+    /// Work that no record names was told to end.
+    pub fn on_killed(&mut self) {
+        self.progress.killed();
+    }
+
+    /// A message of a machine shows what became of its orders.
+    pub fn acknowledge(&mut self, host: &HostId, carried_out: impl Fn(&Order) -> bool) {
+        if !self.is_over() {
+            self.orders.acknowledge(host, carried_out);
+        }
+    }
+
+    /// Machines whose orders waited and may be tried again now.
+    pub fn waiting_hosts(&mut self, now: Instant) -> Vec<HostId> {
+        self.orders.take_waiting(now)
+    }
+
+    // --- silence ---
+
+    /// The segment of a machine.
+    pub fn segment_of(&self, endpoint: &str) -> Segment {
+        self.segments.of_endpoint(endpoint)
+    }
+
+    /// Which machines are silent, counted anew.
+    pub fn survey(&mut self, silence: SilenceSurvey) {
+        self.silence = silence;
+    }
+
+    /// How far the silence reaches that a silent machine is part of.
+    pub fn silence_scope(&self, endpoint: &str, site: &Site) -> SilenceScope {
+        let scope = self.silence.scope(&self.segment_of(endpoint), site);
+        if self.enabled || scope == SilenceScope::Fleet {
+            scope
+        } else {
+            SilenceScope::Machine
+        }
+    }
+
+    /// How many of these machines may be rented now. Paced while most of a segment or site is silent:
+    /// its machines are likely to come back.
+    pub fn rentals_allowed(&mut self, now: Instant, wanted: u32) -> u32 {
+        if !self.enabled || self.silence.widest() == SilenceScope::Machine {
+            return wanted;
+        }
+        self.rentals.take(now, wanted)
+    }
+
+    // --- progress ---
+
+    /// Moves on to the phase that fits. Returns it if it is another.
+    pub fn advance(&mut self, now: Instant) -> Option<PhaseChange> {
+        if self.is_over() {
+            return None;
+        }
+        let counts = self.reconciliation.counts();
+        let unrecorded_jobs = self.unrecorded.len();
+        let spread = self.orders.given() >= ORDERS_FOR_EACH * self.progress.recorded();
+        let waits = counts.of(AttemptState::Absent) > 0 || self.orders.is_busy(now, QUIET);
+        let remaining = Remaining {
+            counts,
+            unrecorded_jobs,
+            orders_wait: waits && !spread,
+        };
+        let phase = self.progress.advance(&remaining)?;
+        Some(PhaseChange {
+            phase,
+            counts: remaining.counts,
+            unrecorded_jobs: remaining.unrecorded_jobs,
+            deferred: self.orders.deferred(),
+            summary: self.progress.summary(now),
+        })
+    }
+
+    /// The takeover in figures.
+    pub fn summary(&self, now: Instant) -> Summary {
+        self.progress.summary(now)
+    }
+}
--- /dev/null
+++ b/crates/recovery/src/unrecorded.rs
@@ -0,0 +1,202 @@
+//! Work that a worker shows and that no record names, of a job that the leader does not know.
+//!
+//! Such work may belong to a job whose acceptance the leader has not heard of yet, to one that is over
+//! and long forgotten, to one whose record cannot be read, or to one that the state service lost when it
+//! was put back to an earlier state. So the state service is asked, by a linearizable read, before
+//! anything is done about it, and a read that failed decides nothing. Until the work is proved gone it
+//! holds its machine, and counts as work of any team, since its team is not known.
+
+use cypressgap_model::{HostId, Uid};
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::{Duration, Instant};
+
+/// Two answers that a job was never accepted must lie this far apart to count as two.
+pub const DENIALS_APART: Duration = Duration::from_secs(2);
+/// So many of them are needed before work is killed.
+pub const DENIALS_NEEDED: u32 = 2;
+
+/// What the state service says of a job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StoreAnswer {
+    /// It is accepted and not over: its record is on its way here, or cannot be read.
+    Live,
+    /// Its verdict is durable, so all of its tasks were proved ended or gone before.
+    Over,
+    /// It was never accepted, or the state service was put back to an earlier state.
+    NeverAccepted,
+}
+
+/// What becomes of the work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Disposition {
+    /// It stays, counted as taken, until more is known.
+    Hold,
+    /// It is killed under a raised token.
+    Kill,
+}
+
+/// What is known of one job.
+#[derive(Clone, Copy, Debug)]
+struct Inquiry {
+    first_shown: Instant,
+    answer: Option<StoreAnswer>,
+    denials: u32,
+    last_denial: Option<Instant>,
+    /// Machines that show work of it.
+    machines: usize,
+}
+
+impl Inquiry {
+    fn new(now: Instant) -> Inquiry {
+        Inquiry {
+            first_shown: now,
+            machines: 0,
+            answer: None,
+            denials: 0,
+            last_denial: None,
+        }
+    }
+
+    fn answered(&mut self, now: Instant, answer: StoreAnswer) {
+        self.answer = Some(answer);
+        if answer != StoreAnswer::NeverAccepted {
+            self.denials = 0;
+            self.last_denial = None;
+            return;
+        }
+        let apart = |t: Instant| now.saturating_duration_since(t) >= DENIALS_APART;
+        if self.last_denial.is_none_or(apart) {
+            self.denials += 1;
+            self.last_denial = Some(now);
+        }
+    }
+
+    fn disposition(&self, now: Instant, hold: Duration) -> Disposition {
+        let held = now.saturating_duration_since(self.first_shown);
+        match self.answer {
+            Some(StoreAnswer::Over) => Disposition::Kill,
+            Some(StoreAnswer::NeverAccepted) if self.denials >= DENIALS_NEEDED && held >= hold => {
+                Disposition::Kill
+            }
+            _ => Disposition::Hold,
+        }
+    }
+}
+
+/// What one machine shows of such jobs.
+#[derive(Debug)]
+struct ShownWork {
+    jobs: BTreeSet<Uid>,
+    /// By a report that shows this term's token: no late copy.
+    current: bool,
+}
+
+/// All such work.
+#[derive(Debug)]
+pub struct UnrecordedWork {
+    hold: Duration,
+    jobs: BTreeMap<Uid, Inquiry>,
+    hosts: BTreeMap<HostId, ShownWork>,
+    /// Machines whose newest report is no late copy.
+    current_hosts: usize,
+}
+
+impl UnrecordedWork {
+    /// `hold`: how long work of a job that was never accepted is left alone.
+    pub fn new(hold: Duration) -> UnrecordedWork {
+        UnrecordedWork {
+            hold,
+            jobs: BTreeMap::new(),
+            hosts: BTreeMap::new(),
+            current_hosts: 0,
+        }
+    }
+
+    /// What a machine's report shows, in place of what it showed before. Returns jobs that are new here.
+    pub fn shown(
+        &mut self,
+        now: Instant,
+        host: &HostId,
+        current: bool,
+        jobs: BTreeSet<Uid>,
+    ) -> Vec<Uid> {
+        let mut new = Vec::new();
+        for uid in &jobs {
+            let inquiry = self.jobs.entry(uid.clone()).or_insert_with(|| {
+                new.push(uid.clone());
+                Inquiry::new(now)
+            });
+            inquiry.machines += 1;
+        }
+        self.host_cleared(host);
+        if !jobs.is_empty() {
+            self.current_hosts += usize::from(current);
+            self.hosts.insert(host.clone(), ShownWork { jobs, current });
+        }
+        new
+    }
+
+    /// Nothing of the kind is on a machine any more, or the machine is gone.
+    pub fn host_cleared(&mut self, host: &HostId) {
+        let Some(work) = self.hosts.remove(host) else {
+            return;
+        };
+        self.current_hosts -= usize::from(work.current);
+        for uid in work.jobs {
+            self.machine_cleared(&uid);
+        }
+    }
+
+    /// A job that no machine shows any more needs no answer.
+    fn machine_cleared(&mut self, uid: &Uid) {
+        let Some(inquiry) = self.jobs.get_mut(uid) else {
+            return;
+        };
+        inquiry.machines -= 1;
+        if inquiry.machines == 0 {
+            self.jobs.remove(uid);
+        }
+    }
+
+    /// The state service's answer about a job.
+    pub fn answered(&mut self, now: Instant, uid: &Uid, answer: StoreAnswer) {
+        if let Some(inquiry) = self.jobs.get_mut(uid) {
+            inquiry.answered(now, answer);
+        }
+    }
+
+    /// What becomes of a job's work.
+    pub fn disposition(&self, now: Instant, uid: &Uid) -> Disposition {
+        let inquiry = self.jobs.get(uid);
+        inquiry.map_or(Disposition::Hold, |i| i.disposition(now, self.hold))
+    }
+
+    /// Jobs to ask the state service about.
+    pub fn to_ask(&self) -> impl Iterator<Item = &Uid> {
+        let open = self.jobs.iter();
+        open.filter(|(_, inquiry)| inquiry.answer != Some(StoreAnswer::Over))
+            .map(|(uid, _)| uid)
+    }
+
+    /// Whether a machine holds work whose size is not known.
+    pub fn holds_host(&self, host: &HostId) -> bool {
+        self.hosts.contains_key(host)
+    }
+
+    /// Whether tasks of a team that is not known may be on machines. A job whose verdict is durable had
+    /// nothing on machines then, so only a report that is no late copy can show work of it.
+    pub fn may_use_any_team(&self) -> bool {
+        let over = |inquiry: &Inquiry| inquiry.answer == Some(StoreAnswer::Over);
+        self.current_hosts > 0 || !self.jobs.values().all(over)
+    }
+
+    /// How many jobs there are.
+    pub fn len(&self) -> usize {
+        self.jobs.len()
+    }
+
+    /// There is no such work.
+    pub fn is_empty(&self) -> bool {
+        self.hosts.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/recovery/tests/pacing.rs
@@ -0,0 +1,228 @@
+//! Orders by the second, for the fleet and each segment, whatever comes in whatever order.
+
+use cypressgap_model::{Attempt, HostId, TaskId, Term, Uid};
+use cypressgap_recovery::orders::{Order, OrderKind, OrderPacer};
+use cypressgap_recovery::pacing::{OrderClass, RentalPace, TokenBucket};
+use cypressgap_recovery::segments::{Segment, SegmentMap};
+use cypressgap_recovery::settings::{Deployment, RecoverySettings};
+use cypressgap_recovery::Takeover;
+use std::time::{Duration, Instant};
+
+const DEPLOYMENT: Deployment = Deployment {
+    cancel: Duration::from_secs(50),
+    machines: 100,
+};
+
+fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+fn order(kind: OrderKind, index: u32) -> Order {
+    Order {
+        kind,
+        task: TaskId {
+            uid: Uid::from("wk-000001"),
+            index,
+        },
+        attempt: Attempt::of(Term(1), 1),
+    }
+}
+
+fn settings() -> RecoverySettings {
+    RecoverySettings {
+        orders_per_second: Some(100.0),
+        segment_orders_per_second: Some(40.0),
+        ..RecoverySettings::default()
+    }
+}
+
+/// The most that any second holds of these times.
+fn peak(times: &[Instant]) -> usize {
+    let within = |from: &Instant| {
+        let end = *from + Duration::from_secs(1);
+        times.iter().filter(|t| *t >= from && **t < end).count()
+    };
+    times.iter().map(within).max().unwrap_or(0)
+}
+
+/// Three segments ask for far more than they may have, ordinary and prompt orders in turn, acknowledged
+/// at once or never.
+#[test]
+fn no_second_holds_more_than_the_limits() {
+    for acknowledged in [true, false] {
+        let settings = settings();
+        let start = Instant::now();
+        let map = SegmentMap::new(&settings.segments, settings.prefixes);
+        let mut pacer = OrderPacer::new(settings.paces(DEPLOYMENT), start);
+        let mut sent: Vec<(Segment, Instant)> = Vec::new();
+        for step in 0..3000u64 {
+            // Idle for a while in between, so that buckets fill up.
+            let now = start + ms(step * 5) + if step > 1500 { ms(20_000) } else { ms(0) };
+            for n in 0..6u64 {
+                let host = HostId(format!("i-{}", n % 3));
+                let segment = map.of_endpoint(&format!("10.0.{}.7:9000", n % 3));
+                let class = [OrderClass::Ordinary, OrderClass::Prompt][(n / 3) as usize];
+                let order = order(OrderKind::Kill, (step * 6 + n) as u32);
+                if pacer.admit(now, &host, &segment, order, class) {
+                    sent.push((segment, now));
+                }
+                if acknowledged {
+                    pacer.acknowledge(&host, |_| true);
+                }
+            }
+        }
+        let all: Vec<Instant> = sent.iter().map(|s| s.1).collect();
+        assert!(peak(&all) <= 100, "fleet: {}", peak(&all));
+        let segments = ["10.0.0.0/24", "10.0.1.0/24", "10.0.2.0/24"];
+        for name in segments {
+            let of = |s: &&(Segment, Instant)| s.0.to_string() == name;
+            let times: Vec<Instant> = sent.iter().filter(of).map(|s| s.1).collect();
+            assert!(peak(&times) <= 40, "{name}: {}", peak(&times));
+            assert!(!times.is_empty());
+        }
+        // It takes what is acknowledged for a sign that more may follow.
+        let least = if acknowledged { 900 } else { 150 };
+        let most = if acknowledged { 2500 } else { 900 };
+        assert!((least..most).contains(&sent.len()), "{}", sent.len());
+    }
+}
+
+#[test]
+fn a_bucket_starts_empty_and_immediate_orders_are_charged() {
+    let start = Instant::now();
+    let mut bucket = TokenBucket::new(10.0, start);
+    assert!(
+        !bucket.admits(OrderClass::Ordinary),
+        "no burst at the start"
+    );
+    assert!(
+        TokenBucket::new(500.0, start).left() <= 5,
+        "nor of a large one"
+    );
+    assert!(bucket.admits(OrderClass::Prompt), "what is reserved");
+    assert!(bucket.admits(OrderClass::Immediate));
+    for _ in 0..50 {
+        bucket.take();
+    }
+    assert!(bucket.admits(OrderClass::Immediate));
+    // Owed for a second at most, so that others go on soon.
+    bucket.refill(start + Duration::from_secs(2), 1.0);
+    assert!(bucket.admits(OrderClass::Ordinary));
+}
+
+#[test]
+fn an_order_is_repeated_only_after_a_while_and_not_in_step() {
+    let settings = settings();
+    let map = SegmentMap::new(&settings.segments, settings.prefixes);
+    let segment = map.of_endpoint("10.0.0.1:9");
+    let start = Instant::now();
+    let mut repeated = Vec::new();
+    for n in 0..20 {
+        let mut pacer =
+            OrderPacer::new(settings.paces(DEPLOYMENT), start - Duration::from_secs(10));
+        let host = HostId(format!("i-{n}"));
+        let launch = |pacer: &mut OrderPacer, at| {
+            let order = order(OrderKind::Launch, 0);
+            pacer.admit(at, &host, &segment, order, OrderClass::Ordinary)
+        };
+        assert!(launch(&mut pacer, start));
+        let again = (1..5000)
+            .step_by(50)
+            .find(|at| launch(&mut pacer, start + ms(*at)));
+        let again = again.expect("it is repeated");
+        assert!((1500..=2551).contains(&again), "{again}");
+        let third = (again..20_000)
+            .step_by(50)
+            .find(|at| launch(&mut pacer, start + ms(*at)));
+        assert!(
+            third.is_some_and(|third| third - again > 2900),
+            "twice as long"
+        );
+        repeated.push(again);
+        // What a report shows is over with: the same order would be a new one.
+        pacer.acknowledge(&host, |o| o.kind == OrderKind::Launch);
+        assert!(launch(&mut pacer, start + Duration::from_secs(60)));
+    }
+    repeated.sort_unstable();
+    repeated.dedup();
+    assert!(repeated.len() > 5, "{repeated:?}");
+}
+
+#[test]
+fn machines_that_wait_are_named_as_the_pace_allows() {
+    let settings = settings();
+    let start = Instant::now();
+    let mut pacer = OrderPacer::new(settings.paces(DEPLOYMENT), start);
+    for n in 0..1000u32 {
+        let host = HostId(format!("i-{n}"));
+        let order = order(OrderKind::Launch, n);
+        assert!(!pacer.admit(start, &host, &Segment::Unknown, order, OrderClass::Ordinary));
+    }
+    assert!(pacer.take_waiting(start).len() <= 1);
+    let now = start + ms(50);
+    let named = pacer.take_waiting(now);
+    assert!((1..=5).contains(&named.len()), "{}", named.len());
+    assert!(pacer.is_busy(now, Duration::from_secs(5)));
+    assert_eq!((pacer.given(), pacer.deferred()), (0, 1000));
+}
+
+/// A kill's class by the time since its job's cancellation, of 50 s that its end may take.
+#[test]
+fn a_cancellation_never_waits_for_long() {
+    let cancel = Duration::from_secs(50);
+    let cases = [
+        (None, false, OrderClass::Ordinary),
+        (None, true, OrderClass::Prompt),
+        (Some(0), false, OrderClass::Prompt),
+        (Some(14), false, OrderClass::Prompt),
+        (Some(15), true, OrderClass::Immediate),
+    ];
+    for (passed, has_time_limit, class) in cases {
+        let passed = passed.map(Duration::from_secs);
+        let found = Takeover::kill_class(passed, cancel, has_time_limit);
+        assert_eq!(found, class, "{passed:?}");
+    }
+}
+
+#[test]
+fn rentals_are_spread_over_time() {
+    let start = Instant::now();
+    let mut pace = RentalPace::new(10.0);
+    let mut rented = 0;
+    for step in 0..100 {
+        rented += pace.take(start + ms(step * 100), 50);
+    }
+    assert!((105..=110).contains(&rented), "{rented}");
+}
+
+/// Machines that report all the time take nothing from those that wait.
+#[test]
+fn who_waits_goes_before_who_just_reported() {
+    let paces = RecoverySettings {
+        segment_orders_per_second: Some(100.0),
+        ..settings()
+    }
+    .paces(DEPLOYMENT);
+    let start = Instant::now();
+    let mut pacer = OrderPacer::new(paces, start - Duration::from_secs(10));
+    let (busy, first) = (HostId::from("busy"), HostId::from("first"));
+    let admit = |pacer: &mut OrderPacer, host: &HostId, index: u32, now: Instant| {
+        let order = order(OrderKind::Launch, index);
+        pacer.admit(now, host, &Segment::Unknown, order, OrderClass::Ordinary)
+    };
+    let mut given = 0;
+    while given < 50 && admit(&mut pacer, &busy, given, start) {
+        given += 1;
+    }
+    assert_eq!(given, 10, "what the bucket keeps");
+    // The busy machine asks again and again before the pace is looked at.
+    assert!(!admit(&mut pacer, &first, 0, start));
+    let later = start + ms(100);
+    for index in 100..200 {
+        assert!(!admit(&mut pacer, &busy, index, later));
+    }
+    // It was the first to wait; then comes the other.
+    assert_eq!(pacer.take_waiting(later), [busy.clone(), first.clone()]);
+    assert!(admit(&mut pacer, &first, 0, later));
+    assert!(admit(&mut pacer, &busy, 100, later));
+}
