A new leader takes the fleet over by crates/recovery

Need: a new leader launched again whatever the first report of a machine did not show, killed work of jobs that it did not know at once, sent all orders as they came, and gave machines of a silent rack back one by one.

Change: attempts on record are launched again only once a report that shows this term's token proves them absent. A task that no record names is adopted when its job is live and would allow it there; of an unknown job it is held, its machine and every limited team's room with it, until a linearizable read tells, and killed under a raised token only when the job is over, or was denied twice and a while has passed. Launches, kills and forgets of a takeover are paced; answers that renew leases are not; a cancellation's kill goes out by 0.3 of cancel_s whatever the pace. Machines of a segment or site that is mostly silent are kept for a lease, replacements rented at a pace. Remembered names of returned machines follow max-hosts.

--- a/src/core/attempts.rs
+++ b/src/core/attempts.rs
@@ -9,7 +9,7 @@
 impl Cluster {
     pub(super) fn next_attempt(&mut self) -> Attempt {
         self.attempts += 1;
-        Attempt((self.term.0 << 28) | self.attempts)
+        Attempt::of(self.term, self.attempts)
     }
 
     /// Records the decision to run a task on a host. The launch goes out once this is durable.
@@ -77,7 +77,8 @@
         else {
             return;
         };
-        if !a.durable {
+        // One that was adopted is on its machine before its record is durable.
+        if !a.durable && a.seen.is_none() {
             self.gone(now, uid, index, false);
             return;
         }
@@ -126,6 +127,7 @@
         }
         let task = job.task(index);
         self.team_use.leave(&task);
+        self.takeover.on_gone(now, &a.host, &task);
         let gang = job.spec.kind == JobKind::Gang;
         if job.finished && job.active.is_empty() {
             self.drop_job(now, uid);
--- a/src/core/capacity.rs
+++ b/src/core/capacity.rs
@@ -11,8 +11,6 @@
 
 /// The cloud takes no more in one rental, and no more names in one return.
 pub(super) const MOST_RENTED: u32 = 50;
-/// This many silent machines are no accident of each one's own.
-pub(super) const MANY: usize = 3;
 /// After a refusal, the same kind is not asked for again for this long.
 pub(super) const REFUSED_PAUSE: Duration = Duration::from_secs(12);
 
--- a/src/core/cluster.rs
+++ b/src/core/cluster.rs
@@ -17,6 +17,8 @@
 use super::takeover::SetAside;
 use super::team_use::TeamUse;
 use super::watermark::{self, Moment, Statement, Watermark};
+use cypressgap_recovery::settings::Deployment;
+use cypressgap_recovery::Takeover;
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 use std::time::{Duration, Instant, SystemTime};
 
@@ -129,6 +131,8 @@
     /// What each team takes.
     pub team_use: TeamUse,
     pub(super) set_aside: SetAside,
+    /// What is left of the taking over, and the pace of its orders.
+    pub takeover: Takeover,
     pub(super) usage_of_late: HashMap<TeamName, Need>,
     pub(super) usage_noted: Option<Instant>,
     /// Limits starts while nodes cannot keep up.
@@ -201,6 +205,11 @@
         let next_summary = now + params.tuning.summary_every;
         let day = SystemTime::UNIX_EPOCH + Duration::from_millis(started_ms);
         let clocks = Moment { steady: now, day };
+        let deployment = Deployment {
+            cancel: params.cancel,
+            machines: params.tuning.max_hosts,
+        };
+        let takeover = Takeover::new(&params.recovery, deployment, now);
         Cluster {
             params,
             term,
@@ -210,6 +219,7 @@
             types,
             team_use: TeamUse::default(),
             set_aside: SetAside::default(),
+            takeover,
             usage_of_late: HashMap::new(),
             usage_noted: None,
             start_limiter: StartLimiter::default(),
@@ -502,6 +512,7 @@
             self.evictions(now);
             self.press_kills(now);
             self.clear_suspicions(now);
+            self.advance_takeover(now);
         }
         let every = if self.round_due {
             self.round_pace
@@ -525,6 +536,7 @@
             }
         }
         self.probe();
+        self.retry_paced_orders(now);
         self.send_urgent(now);
         if let Some(b) = self.next_batch(now) {
             self.actions.push(Action::Store(b));
--- a/src/core/commands.rs
+++ b/src/core/commands.rs
@@ -4,6 +4,7 @@
 use super::entities::{Active, Kill};
 use super::launch_check::LaunchCheck;
 use super::model::{Attempt, Directive, Epoch, HostId, Report, TaskId, TaskPhase, Term};
+use cypressgap_recovery::pacing::OrderClass;
 use std::collections::HashSet;
 use std::time::{Duration, Instant};
 
@@ -72,7 +73,8 @@
             let Some(a) = job.and_then(|j| j.active.get(&task.index)) else {
                 continue;
             };
-            if !a.durable {
+            // One that was adopted is there already.
+            if !a.durable && a.seen.is_none() {
                 continue;
             }
             let known = match listed {
@@ -80,11 +82,12 @@
                 None => a.seen.is_some(),
             };
             let directive = if a.kill.is_some() {
-                a.kill_directive(now, &task, known || listed.is_none())
+                let kill = a.kill_directive(now, &task, known || listed.is_none());
+                kill.filter(|kill| self.admit(now, host, kill, self.kill_class(now, &task)))
             } else if known {
                 None
             } else {
-                self.launch_directive(now, &task, session)
+                self.launch_directive(now, host, &task, session)
             };
             out.extend(directive);
             if out.len() >= MOST_DIRECTIVES {
@@ -97,6 +100,7 @@
     fn launch_directive(
         &mut self,
         now: Instant,
+        host: &HostId,
         task: &TaskId,
         session: Session,
     ) -> Option<Directive> {
@@ -104,18 +108,28 @@
         if session.leaving || !self.confirmed || self.launch_check(task) != LaunchCheck::Allowed {
             return None;
         }
-        let job = self.jobs.get_mut(&task.uid)?;
+        let job = self.jobs.get(&task.uid)?;
         if job.cancelled || job.finished {
             return None;
         }
+        let attempt = job.active.get(&task.index)?.attempt;
+        // What an earlier term may have sent is launched again only once it is proved absent.
+        if !self.takeover.allows_launch(host, task, attempt) {
+            return None;
+        }
+        let launch = Directive::Launch {
+            task: task.clone(),
+            attempt,
+        };
+        if !self.admit(now, host, &launch, OrderClass::Ordinary) {
+            return None;
+        }
+        let job = self.jobs.get_mut(&task.uid)?;
         let a = job.active.get_mut(&task.index)?;
         a.launch_epoch = a.launch_epoch.max(session.epoch);
         a.tenure = Some(session.tenure);
         a.given.get_or_insert(now);
-        Some(Directive::Launch {
-            task: task.clone(),
-            attempt: a.attempt,
-        })
+        Some(launch)
     }
 
     /// A direct command's answer, or None when there was none.
--- a/src/core/launch_check.rs
+++ b/src/core/launch_check.rs
@@ -33,19 +33,38 @@
         self.check_zones(job, task.index)
     }
 
+    /// Whether an attempt that runs already may go on: as [`Cluster::launch_check`], but what is not known
+    /// of other work does not end this one.
+    pub(super) fn may_go_on(&self, task: &TaskId) -> bool {
+        let Some(job) = self.jobs.get(&task.uid) else {
+            return false;
+        };
+        let team = self.team(&job.spec.owner);
+        let zones = self.check_zones(job, task.index);
+        team.is_some_and(|t| self.is_within_limit(t)) && zones != LaunchCheck::Refused
+    }
+
     /// Whether all that is on record of a team keeps to its limit.
     fn keeps_limit(&self, owner: &TeamName) -> bool {
-        let used = self.team_use.of(owner);
         let team = self.team_that_may_start(owner);
-        team.is_some_and(|t| t.allows(&used, &Need::default()))
+        team.is_some_and(|t| self.is_within_limit(t))
+    }
+
+    fn is_within_limit(&self, team: &Team) -> bool {
+        team.allows(&self.team_use.of(&team.name), &Need::default())
+    }
+
+    fn team(&self, name: &TeamName) -> Option<&Team> {
+        self.params.teams.iter().find(|t| &t.name == name)
     }
 
     /// A team by its name, unless nothing may start for it: the settings do not name it, or it has a
     /// limit and what its tasks use is not known.
     pub(super) fn team_that_may_start(&self, owner: &TeamName) -> Option<&Team> {
-        let team = self.params.teams.iter().find(|t| &t.name == owner)?;
+        let team = self.team(owner)?;
         let limited = team.cpus_max.is_some() || team.gpus_max.is_some();
-        (!limited || !self.set_aside.may_run()).then_some(team)
+        let unknown = self.set_aside.may_run() || self.takeover.may_use_any_team();
+        (!limited || !unknown).then_some(team)
     }
 
     fn check_zones(&self, job: &Job, index: u32) -> LaunchCheck {
--- a/src/core/model.rs
+++ b/src/core/model.rs
@@ -1,5 +1,6 @@
 //! What the scheduler talks about: jobs, machines, teams, and what the settings say of them.
 
+use cypressgap_recovery::settings::RecoverySettings;
 use std::time::Duration;
 
 pub use cypressgap_model::{
@@ -219,6 +220,8 @@
     pub list_lag: Duration,
     /// The operators' own settings.
     pub tuning: Tuning,
+    /// How a term takes over the fleet.
+    pub recovery: RecoverySettings,
 }
 
 /// Operators' own settings that the core reads.
--- a/src/core/placement/tests.rs
+++ b/src/core/placement/tests.rs
@@ -48,6 +48,7 @@
         value_bytes: 8192,
         list_lag: Duration::from_secs(8),
         tuning: Tuning::default(),
+        recovery: Default::default(),
     };
     let mut c = Cluster::new(params, Term(3), 50, types, now, 0);
     for n in 0..40 {
--- a/src/core/release.rs
+++ b/src/core/release.rs
@@ -1,9 +1,9 @@
 //! Machines that go back: idle, silent, faulty, about to be taken, or never come up.
 
-use super::capacity::MANY;
 use super::cluster::{Action, Cluster, Host};
 use super::failure_attribution::QUARANTINE_PATIENCE;
 use super::model::{HostId, Need};
+use cypressgap_recovery::silence::{SilenceScope, SilenceSurvey, MANY};
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
@@ -45,12 +45,6 @@
     }
 }
 
-/// After what time machines count as silent, and whether most of them do.
-struct Silence {
-    after: Duration,
-    most: bool,
-}
-
 /// Room that stays free for each class with headroom while idle machines go.
 struct HeadroomLeft {
     /// Tasks of each class, and what one needs.
@@ -93,6 +87,8 @@
 
     /// Returns machines that are of no more use, as fast as the cloud takes them.
     pub(super) fn return_hosts(&mut self, now: Instant) {
+        let survey = self.survey_silence(now);
+        self.takeover.survey(survey);
         for (id, why) in self.leaving_hosts(now) {
             if let Some(h) = self.hosts.get_mut(&id) {
                 log::info!(
@@ -108,14 +104,13 @@
 
     /// Machines that are to go back from now on.
     fn leaving_hosts(&self, now: Instant) -> Vec<(HostId, WhyReturned)> {
-        let silence = self.silence(now);
         let mut headroom = self.headroom_left(now);
         let mut leaving = Vec::new();
         for h in self.most_expensive_first() {
             let why = if h.booting.is_some() {
                 self.never_came_up(now, h)
             } else {
-                self.unusable(now, h, &silence)
+                self.unusable(now, h)
                     .or_else(|| self.idle(now, h, &mut headroom))
             };
             if let Some(why) = why {
@@ -125,25 +120,31 @@
         leaving
     }
 
-    fn silence(&self, now: Instant) -> Silence {
+    /// After what time machines count as silent.
+    pub(super) fn silent_after(&self) -> Duration {
         let p = &self.params;
-        let silent_after = p
-            .lease
-            .mul_f64(p.tuning.silent_share)
-            .max(p.report.mul_f64(SILENT_REPORTS));
+        let share = p.lease.mul_f64(p.tuning.silent_share);
+        share.max(p.report.mul_f64(SILENT_REPORTS))
+    }
+
+    /// Which machines are silent together. Machines are counted one by one only where enough are silent
+    /// for it to matter.
+    fn survey_silence(&self, now: Instant) -> SilenceSurvey {
+        let after = self.silent_after();
         let up = |h: &&Host| h.reported && !h.returning;
-        let lost = |h: &&Host| {
-            self.is_silent(now, h, silent_after) || self.is_unreachable(now, h, silent_after)
-        };
-        let all = self.hosts.values().filter(up).count();
-        let quiet = self.hosts.values().filter(up).filter(lost).count();
-        Silence {
-            after: silent_after,
-            most: quiet >= MANY && quiet * 2 > all,
+        let lost = |h: &&Host| self.is_silent(now, h, after) || self.is_unreachable(now, h, after);
+        let mut survey = SilenceSurvey::default();
+        if self.hosts.values().filter(up).filter(lost).count() < MANY {
+            return survey;
+        }
+        for h in self.hosts.values().filter(up) {
+            let segment = self.takeover.segment_of(&h.endpoint);
+            survey.add(&segment, &h.site, lost(&h));
         }
+        survey
     }
 
-    fn is_silent(&self, now: Instant, h: &Host, after: Duration) -> bool {
+    pub(super) fn is_silent(&self, now: Instant, h: &Host, after: Duration) -> bool {
         let since = h.last_report.max(self.awake_since);
         now.saturating_duration_since(since) > after
     }
@@ -159,12 +160,13 @@
         h.reported && since.is_some_and(|t| now.saturating_duration_since(t) > after)
     }
 
-    /// When most fall silent at once, the fault is more likely on our side; but not for longer than
-    /// their leases last.
-    fn fault_may_be_ours(&self, now: Instant, h: &Host, silence: &Silence) -> bool {
+    /// When most of a segment, a site or all machines fall silent at once, the fault is more likely on our
+    /// side or in the network; but not for longer than their leases last.
+    fn fault_may_be_ours(&self, now: Instant, h: &Host) -> bool {
         let since = h.last_report.max(self.awake_since);
         let silent = now.saturating_duration_since(since);
-        silence.most && silent <= self.params.lease + self.params.report
+        silent <= self.params.lease + self.params.report
+            && self.takeover.silence_scope(&h.endpoint, &h.site) != SilenceScope::Machine
     }
 
     /// Machines that are not on their way back, by what they cost.
@@ -191,7 +193,7 @@
     }
 
     /// Faulty, about to be taken, or cut off.
-    fn unusable(&self, now: Instant, h: &Host, silence: &Silence) -> Option<WhyReturned> {
+    fn unusable(&self, now: Instant, h: &Host) -> Option<WhyReturned> {
         let faulty = |t: Instant| now.saturating_duration_since(t) > QUARANTINE_PATIENCE;
         if h.quarantined_at.is_some_and(faulty) {
             return Some(WhyReturned::Faulty);
@@ -199,13 +201,17 @@
         if h.eviction.is_some() && h.placed.is_empty() {
             return Some(WhyReturned::ToBeTaken);
         }
-        let ours = self.fault_may_be_ours(now, h, silence);
+        let after = self.silent_after();
+        let silent = self.is_silent(now, h, after);
+        let deaf = self.is_unreachable(now, h, after);
+        if !(silent || deaf) || self.fault_may_be_ours(now, h) {
+            return None;
+        }
         let known = now.saturating_duration_since(h.known_since.max(self.awake_since));
         let expected = h.reported || known > self.params.lease;
-        if self.is_silent(now, h, silence.after) && !ours && expected {
+        if silent && expected {
             return Some(WhyReturned::Silent);
         }
-        let deaf = self.is_unreachable(now, h, silence.after) && !ours;
         deaf.then_some(WhyReturned::NothingReachesIt)
     }
 
--- a/src/core/rental_plan.rs
+++ b/src/core/rental_plan.rs
@@ -1,10 +1,11 @@
 //! Which machines to rent: work that waits too long is packed onto imagined machines.
 
-use super::capacity::{Offer, EXPENSIVE_FACTOR, MANY, MOST_RENTALS, MOST_RENTED};
+use super::capacity::{Offer, EXPENSIVE_FACTOR, MOST_RENTALS, MOST_RENTED};
 use super::cluster::{Cluster, Job};
 use super::model::{HostType, JobSpec, Need, Site, TypeName, Uid, Urgency};
 use super::placement::{Round, Waiting};
 use super::zones::{permits, ZoneUse};
+use cypressgap_recovery::silence::MANY;
 use std::collections::{BTreeMap, HashMap};
 use std::time::{Duration, Instant};
 
@@ -165,7 +166,7 @@
             }
         }
         self.plan_headroom(now, round, &mut plan);
-        self.order_rentals(plan.counts());
+        self.order_rentals(now, plan.counts());
     }
 
     /// A plan that holds the rentals under way: they will take the first of the waiting.
@@ -304,7 +305,7 @@
         }
     }
 
-    fn order_rentals(&mut self, counts: BTreeMap<Offer, u32>) {
+    fn order_rentals(&mut self, now: Instant, counts: BTreeMap<Offer, u32>) {
         let most = self.params.tuning.max_hosts;
         for (offer, mut missing) in counts {
             // Large demand takes several calls of the most that one may ask for.
@@ -315,6 +316,10 @@
                 if number == 0 || self.capacity.rentals.len() >= MOST_RENTALS {
                     break;
                 }
+                let number = self.takeover.rentals_allowed(now, number);
+                if number == 0 {
+                    return;
+                }
                 self.order_rental(offer.clone(), number);
                 missing -= number;
             }
--- a/src/core/reports.rs
+++ b/src/core/reports.rs
@@ -5,9 +5,12 @@
 use super::entities::Host;
 use super::launch_check::LaunchCheck;
 use super::model::{
-    Attempt, Directive, Epoch, Exit, HostId, Need, Report, TaskId, TaskPhase, TeamName,
+    Attempt, Directive, Epoch, Exit, HostId, Need, Report, TaskId, TaskPhase, TaskReport, TeamName,
+    Uid,
 };
-use std::collections::HashSet;
+use super::unrecorded::UnrecordedTask;
+use cypressgap_recovery::pacing::OrderClass;
+use std::collections::{BTreeSet, HashSet};
 use std::time::{Duration, Instant};
 
 /// What was told to a host shows in its reports within one interval, or this.
@@ -26,6 +29,10 @@
     forgets: Vec<Directive>,
     /// What the unexpected ones take, and whose they are.
     foreign: Vec<(TeamName, Need)>,
+    /// Jobs of unexpected tasks that are not known here.
+    unknown_jobs: BTreeSet<Uid>,
+    /// No late command may start what is killed.
+    raise_token: bool,
 }
 
 impl Cluster {
@@ -65,7 +72,16 @@
             };
         }
         self.take_host(now, &r);
-        let tasks = self.take_tasks(now, &r);
+        let mut tasks = self.take_tasks(now, &r);
+        let current = self.is_current(&r);
+        let unknown_jobs = std::mem::take(&mut tasks.unknown_jobs);
+        self.note_unknown_jobs(now, &r.host, current, unknown_jobs);
+        let listed = &tasks.listed;
+        self.takeover
+            .on_report(now, &r.host, current, |task, attempt| {
+                listed.contains(&(task.clone(), attempt))
+            });
+        self.acknowledge_orders(&r);
         self.prove_absent(now, &r, &tasks.listed);
         self.check_acknowledged(now, &r, &tasks.listed);
         self.answer_report(now, &r.host, heartbeat, tasks)
@@ -199,13 +215,17 @@
         );
     }
 
+    /// Sent after this term began, or by a machine without a past. Any other may be a copy from before an
+    /// end of the session: what it shows may long be otherwise, since a leader launches the same attempt
+    /// again where a session ended.
+    fn is_current(&self, r: &Report) -> bool {
+        let own = self.hosts.get(&r.host).is_some_and(|h| h.own);
+        r.epoch.term() == self.term || own
+    }
+
     /// What a report shows of tasks.
     fn take_tasks(&mut self, now: Instant, r: &Report) -> ReportedTasks {
-        // Sent after this term began, or by a machine without a past. Any other may be a copy from
-        // before an end of the session: what it shows may long be otherwise, since a leader launches
-        // the same attempt again where a session ended.
-        let own = self.hosts.get(&r.host).is_some_and(|h| h.own);
-        let current = r.epoch.term() == self.term || own;
+        let current = self.is_current(r);
         let mut tasks = ReportedTasks::default();
         for t in &r.tasks {
             tasks.listed.insert((t.task.clone(), t.attempt));
@@ -226,23 +246,43 @@
                 }),
                 TaskPhase::Ended(_) => {}
                 phase if matches => self.progress(now, r, &t.task, phase),
-                _ => {
-                    // No intent of any term names it: a command that came late.
-                    if let Some(j) = job {
-                        let owner = j.spec.owner.clone();
-                        tasks.foreign.push((owner, j.spec.need));
-                    }
-                    tasks.unexpected.push(Directive::Kill {
-                        task: t.task.clone(),
-                        attempt: t.attempt,
-                        wind_down: Duration::ZERO,
-                    });
-                }
+                phase => match self.take_unrecorded(now, r, t, current) {
+                    UnrecordedTask::Adopted => self.progress(now, r, &t.task, phase),
+                    decision => self.note_unexpected(t, decision, &mut tasks),
+                },
             }
         }
         tasks
     }
 
+    /// A task that no record names, and that is not adopted.
+    fn note_unexpected(
+        &mut self,
+        shown: &TaskReport,
+        decision: UnrecordedTask,
+        tasks: &mut ReportedTasks,
+    ) {
+        match self.jobs.get(&shown.task.uid) {
+            Some(job) => {
+                let owner = job.spec.owner.clone();
+                tasks.foreign.push((owner, job.spec.need));
+            }
+            None => {
+                tasks.unknown_jobs.insert(shown.task.uid.clone());
+            }
+        }
+        if decision == UnrecordedTask::Held {
+            return;
+        }
+        tasks.raise_token |= decision == UnrecordedTask::KilledUnderRaisedToken;
+        self.takeover.on_killed();
+        tasks.unexpected.push(Directive::Kill {
+            task: shown.task.clone(),
+            attempt: shown.attempt,
+            wind_down: Duration::ZERO,
+        });
+    }
+
     fn answer_report(
         &mut self,
         now: Instant,
@@ -250,6 +290,12 @@
         heartbeat: bool,
         tasks: ReportedTasks,
     ) -> Answer {
+        let mut directives = tasks.unexpected;
+        for kill in &directives {
+            self.admit(now, host, kill, OrderClass::Immediate);
+        }
+        let mut forgets = tasks.forgets;
+        forgets.retain(|forget| self.admit(now, host, forget, OrderClass::Ordinary));
         let Some(h) = self.hosts.get_mut(host) else {
             return Answer::Ignore;
         };
@@ -263,11 +309,10 @@
         }
         // After a forget the worker would take a late copy of the launch for a new one, so the same
         // answer raises the token past every launch that went out before.
-        if !tasks.forgets.is_empty() {
+        if !forgets.is_empty() || tasks.raise_token {
             h.epoch = h.epoch.next();
         }
-        let mut directives = tasks.unexpected;
-        directives.extend(tasks.forgets);
+        directives.extend(forgets);
         self.directives(now, host, Some(&tasks.listed), &mut directives);
         directives.truncate(MOST_DIRECTIVES);
         Answer::Accept {
--- a/src/core/slots.rs
+++ b/src/core/slots.rs
@@ -101,6 +101,7 @@
         h.reported
             && fresh
             && h.is_reachable()
+            && !self.takeover.holds_host(&h.id)
             && !h.returning
             && !h.quarantined
             && !h.draining
--- a/src/core/takeover.rs
+++ b/src/core/takeover.rs
@@ -5,6 +5,7 @@
 use super::history::Summary;
 use super::ledger::{self, ChunkValue, Verdict};
 use super::model::{HostId, JobKind, JobSpec, Site, TypeName, Uid};
+use cypressgap_recovery::attempt_state::AttemptState;
 use std::collections::{BTreeSet, HashMap};
 use std::time::Instant;
 
@@ -108,6 +109,7 @@
         for uid in &cancelled {
             self.on_cancelled(now, uid, CancelSource::Verdict);
         }
+        self.takeover.begin();
     }
 
     /// A list of dependents found in the state service. It goes with its job.
@@ -153,7 +155,7 @@
             let mut active = Active::planned(now, host.clone(), attempt, job.spec.expected);
             active.durable = true;
             job.active.insert(task, active);
-            loaded.push((job.task(task), host));
+            loaded.push((job.task(task), attempt, host));
         }
         if job.done_count == job.spec.shards {
             self.dirty_jobs.insert(uid.clone());
@@ -162,7 +164,8 @@
             job.last_placed = now;
         }
         let (need, owner) = (job.spec.need, job.spec.owner.clone());
-        for (task, host) in loaded {
+        for (task, attempt, host) in loaded {
+            self.takeover.record(host.clone(), task.clone(), attempt);
             self.team_use.enter(task.clone(), &owner, need);
             let h = self.loaded_host(now, host);
             h.placed.insert(task, need);
@@ -170,6 +173,36 @@
         }
     }
 
+    /// Silent machines, and how far the takeover is.
+    pub(super) fn advance_takeover(&mut self, now: Instant) {
+        if self.takeover.is_over() {
+            return;
+        }
+        let after = self.silent_after();
+        let recorded = self.takeover.recorded_hosts();
+        let silent = |id: &&HostId| {
+            let host = self.hosts.get(*id);
+            host.is_some_and(|h| self.is_silent(now, h, after))
+        };
+        let silent: Vec<HostId> = recorded.filter(silent).cloned().collect();
+        for host in &silent {
+            self.takeover.on_silence(host);
+        }
+        if let Some(change) = self.takeover.advance(now) {
+            let counts = &change.counts;
+            let states = AttemptState::ALL.map(|s| format!("{s}={}", counts.of(s)));
+            log::info!(
+                "takeover {} term={} {} unrecorded_jobs={} deferred={} {}",
+                change.phase,
+                self.term.0,
+                states.join(" "),
+                change.unrecorded_jobs,
+                change.deferred,
+                change.summary
+            );
+        }
+    }
+
     /// A host that a record names. Its type and zone come with its report or the cloud's list.
     fn loaded_host(&mut self, now: Instant, id: HostId) -> &mut Host {
         let term = self.term;
--- a/src/core/termination.rs
+++ b/src/core/termination.rs
@@ -5,8 +5,9 @@
 use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
 
-/// Names of returned hosts that are remembered, so that late reports do not revive them.
-const TOMBSTONES: usize = 5000;
+/// Names of returned hosts that are remembered, so that late reports do not revive them: so many, or all
+/// machines that there may be, whichever is more.
+const LEAST_TOMBSTONES: usize = 5000;
 /// Clocks drift by 0.05%; a lease counts as run out only after this much more of it, and a second.
 const DRIFT: f64 = 1.002;
 
@@ -23,6 +24,7 @@
             return;
         };
         log::info!("host leaves host={id} why={why} tasks={}", h.placed.len());
+        self.takeover.on_lease_expired(now, id);
         let tasks: Vec<TaskId> = h.placed.keys().cloned().collect();
         for t in tasks {
             self.gone(now, &t.uid, t.index, false);
@@ -33,7 +35,8 @@
         self.urgent.remove(id);
         if self.tombstones.insert(id.clone()) {
             self.tombstone_order.push_back(id.clone());
-            if self.tombstone_order.len() > TOMBSTONES {
+            let kept = LEAST_TOMBSTONES.max(self.params.tuning.max_hosts);
+            if self.tombstone_order.len() > kept {
                 if let Some(old) = self.tombstone_order.pop_front() {
                     self.tombstones.remove(&old);
                 }
@@ -72,6 +75,7 @@
                 h.lease_spent = true;
                 h.foreign = Need::default();
                 self.team_use.set_unexpected(&h.id, &[]);
+                self.takeover.on_lease_expired(now, &h.id);
                 gone.extend(h.placed.keys().cloned());
             }
         }
--- /dev/null
+++ b/src/core/unrecorded.rs
@@ -0,0 +1,130 @@
+//! Tasks that a machine shows and that no record names: adopted, held until more is known, or killed.
+//!
+//! A launch goes out only once its intent is durable, so such a task is a command that came late, or the
+//! state service was put back to an earlier state. Of a live job it is adopted where a launch would be
+//! allowed: its work goes on, and nothing is started twice. A job that is not known here is first asked
+//! for in the state service; `cypressgap_recovery::unrecorded` says what follows.
+
+use super::cluster::Cluster;
+use super::ledger::Verdict;
+use super::model::{HostId, JobKind, Report, TaskPhase, TaskReport, Uid};
+use super::status_reads::Standing;
+use cypressgap_recovery::unrecorded::{Disposition, StoreAnswer};
+use std::collections::BTreeSet;
+use std::time::Instant;
+
+/// What becomes of a task that no record names.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum UnrecordedTask {
+    /// It is on record from now on.
+    Adopted,
+    /// Its job is not known: it stays until the state service has been asked.
+    Held,
+    /// It should not be there.
+    Killed,
+    /// It should not be there, and its job is not known: no late command may start it again.
+    KilledUnderRaisedToken,
+}
+
+impl Cluster {
+    /// Decides on a task that a report shows running and that no record names. `current`: the report is
+    /// no late copy of an earlier term's.
+    pub(super) fn take_unrecorded(
+        &mut self,
+        now: Instant,
+        r: &Report,
+        shown: &TaskReport,
+        current: bool,
+    ) -> UnrecordedTask {
+        let uid = &shown.task.uid;
+        if !self.jobs.contains_key(uid) {
+            return match self.takeover.disposition(now, uid) {
+                Disposition::Hold => UnrecordedTask::Held,
+                Disposition::Kill => UnrecordedTask::KilledUnderRaisedToken,
+            };
+        }
+        if current && self.may_adopt(r, shown) && self.adopt(now, r, shown) {
+            return UnrecordedTask::Adopted;
+        }
+        UnrecordedTask::Killed
+    }
+
+    /// Whether a task is one that its job still lacks, on a machine that the job allows. An attempt of
+    /// this term is never adopted: it is on record until it is proved gone.
+    fn may_adopt(&self, r: &Report, shown: &TaskReport) -> bool {
+        let (Some(job), Some(host)) = (self.jobs.get(&shown.task.uid), self.hosts.get(&r.host))
+        else {
+            return false;
+        };
+        let (spec, index) = (&job.spec, shown.task.index);
+        let lacked = index < spec.shards
+            && !job.is_done(index)
+            && !job.active.contains_key(&index)
+            && !job.is_held(index, shown.attempt);
+        let allowed = spec.allows_type(&r.host_type)
+            && spec.allows_site(&r.site)
+            && (spec.preemptible || !r.spot);
+        let wanted = spec.kind == JobKind::Batch && !job.over() && !job.blocked && !job.suspected;
+        let runs = matches!(shown.phase, TaskPhase::Fetching | TaskPhase::Running);
+        let earlier = shown.attempt.term() < self.term;
+        let stays = !host.returning && host.eviction.is_none();
+        lacked && allowed && wanted && runs && earlier && stays
+    }
+
+    /// Enters a task as if it had been placed there, unless its team's limit or its job's zones forbid it.
+    fn adopt(&mut self, now: Instant, r: &Report, shown: &TaskReport) -> bool {
+        let (uid, index) = (&shown.task.uid, shown.task.index);
+        let Some(est) = self.jobs.get(uid).map(|job| job.spec.expected) else {
+            return false;
+        };
+        // What the report before showed of it is counted as its own from here on.
+        self.team_use.set_unexpected(&r.host, &[]);
+        self.assign(now, uid, index, &r.host, shown.attempt, est);
+        if !self.may_go_on(&shown.task) {
+            self.gone(now, uid, index, false);
+            return false;
+        }
+        log::warn!(
+            "a task that no record names is adopted task={} host={}",
+            shown.task,
+            r.host
+        );
+        self.takeover.on_adopted();
+        true
+    }
+
+    /// The unknown jobs whose tasks a machine shows, in place of those that it showed before.
+    pub(super) fn note_unknown_jobs(
+        &mut self,
+        now: Instant,
+        host: &HostId,
+        current: bool,
+        jobs: BTreeSet<Uid>,
+    ) {
+        for uid in self.takeover.unknown_jobs_shown(now, host, current, jobs) {
+            log::warn!("a task of an unknown job is held until the state service was asked job={uid} host={host}");
+        }
+    }
+
+    /// Jobs of which machines show tasks and that the state service is to be asked about.
+    pub fn jobs_to_ask(&self) -> Vec<Uid> {
+        self.takeover.jobs_to_ask()
+    }
+
+    /// How the jobs stand that were asked about. A job that could not be asked about is not among them.
+    pub fn on_standings(&mut self, now: Instant, standings: &[(Uid, Standing)]) {
+        for (uid, standing) in standings {
+            let answer = match standing {
+                None => StoreAnswer::NeverAccepted,
+                Some(Verdict::Live) => StoreAnswer::Live,
+                Some(Verdict::Done | Verdict::Cancelled) => StoreAnswer::Over,
+            };
+            if answer == StoreAnswer::NeverAccepted {
+                log::error!(
+                    "machines show tasks of a job that the state service does not know job={uid}"
+                );
+            }
+            self.takeover.on_store_answer(now, uid, answer);
+        }
+    }
+}
--- a/src/runtime/core_loop.rs
+++ b/src/runtime/core_loop.rs
@@ -158,6 +158,9 @@
             c.flush(now)
         };
         perform(shared, c, actions, now, self.out);
+        if ticking {
+            publish_unrecorded(shared, c);
+        }
         if ticking && now >= self.next_publish {
             self.next_publish = now + PUBLISH_EVERY;
             publish(shared, c, &mut self.published);
@@ -178,6 +181,14 @@
     }
 }
 
+/// Jobs of which machines show tasks and that the leader does not know, for the inquiries.
+fn publish_unrecorded(shared: &Shared, c: &Cluster) {
+    let unrecorded = c.jobs_to_ask();
+    if shared.view.read().unrecorded != unrecorded {
+        shared.view.write().unrecorded = unrecorded;
+    }
+}
+
 fn handle(
     shared: &Shared,
     cluster: &mut Option<Cluster>,
@@ -238,6 +249,7 @@
                 c.ended_before(now, &uid, verdict);
             }
         }
+        Event::Standings(t, standings) if t == term => c.on_standings(now, &standings),
         Event::Read(t, asked) if t == term => c.cancellations_read(asked),
         Event::CancelledElsewhere(t, uids, covers) if t == term => {
             for uid in &uids {
--- a/src/runtime/events.rs
+++ b/src/runtime/events.rs
@@ -5,6 +5,7 @@
 use crate::core::cluster::Cluster;
 use crate::core::ledger::{Batch, BatchOutcome, Verdict};
 use crate::core::model::{Directive, Epoch, HostId, HostType, JobSpec, Listed, Report, Term, Uid};
+use crate::core::status_reads::Standing;
 use crate::core::watermark::{Moment, Statement};
 use crate::net::wire::RentRequest;
 use crossbeam::channel::Sender;
@@ -37,6 +38,8 @@
     Types(Vec<HostType>),
     /// How jobs ended that others need and that were not known.
     Ended(Term, Vec<(Uid, Verdict)>),
+    /// How jobs stand, or whether they were ever accepted, of which machines show tasks that no record names.
+    Standings(Term, Vec<(Uid, Standing)>),
     /// Jobs for which the state service holds a list of dependents.
     Lists(Term, Vec<Uid>),
     /// All cancellations that the state service held when it was asked have gone before this.
--- a/src/runtime/mod.rs
+++ b/src/runtime/mod.rs
@@ -6,6 +6,7 @@
 pub mod core_loop;
 pub mod elector;
 pub mod events;
+mod inquiries;
 pub mod loading;
 pub mod metrics;
 pub mod peer_duties;
--- a/src/runtime/service.rs
+++ b/src/runtime/service.rs
@@ -6,6 +6,7 @@
 use super::core_loop;
 use super::elector::{self, ElectorEvent};
 use super::events::{Event, HeartbeatReply, Outlets};
+use super::inquiries;
 use super::metrics::{Meter, Strain};
 use super::peer_duties;
 use super::stall_detector::StallDetector;
@@ -451,6 +452,11 @@
             "peers",
             Box::new(move || peer_duties::listen_peers(&s, &peer_listener)),
         )?;
+        let s = shared.clone();
+        spawn(
+            "inquiries",
+            Box::new(move || inquiries::ask_about_unrecorded(&s)),
+        )?;
         front::serve(&shared, front_listener, &mut spawn)?;
         log::info!(
             "serving member={} front={} peers={}",
--- a/src/runtime/view.rs
+++ b/src/runtime/view.rs
@@ -56,6 +56,8 @@
     pub live_jobs: usize,
     /// Jobs that others need and of which the leader knows nothing.
     pub unresolved: Vec<Uid>,
+    /// Jobs that the leader does not know and of which machines show tasks.
+    pub unrecorded: Vec<Uid>,
 }
 
 /// Cancellations that this life of the node knows of and may confirm, in the order in which it learned
@@ -145,6 +147,7 @@
                 },
                 live_jobs: 0,
                 unresolved: Vec::new(),
+                unrecorded: Vec::new(),
             }),
         }
     }
--- /dev/null
+++ b/tests/cold_restart.rs
@@ -0,0 +1,168 @@
+//! All controllers end, and the fleet is taken over in order: nothing that runs is started a second time,
+//! and the machines get no burst of orders. Counted from what the machines carry out.
+//!
+//! The figures of `docs/recovery.md`, by hand:
+//! `SEEDS=5 cargo test --release --test cold_restart -- --ignored --nocapture`.
+
+mod common;
+mod simulation;
+
+use common::{secs, team};
+use cypressgap::core::model::Params;
+use simulation::{tight_params, Simulation, Troubles};
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+const STEPS_A_SECOND: u64 = 10;
+const LEASE: u64 = 20;
+
+fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+fn paced(fleet: f64, segment: f64) -> Params {
+    let mut p = tight_params();
+    p.lease = secs(LEASE);
+    p.recovery.orders_per_second = Some(fleet);
+    p.recovery.segment_orders_per_second = Some(segment);
+    p.recovery.prefixes.v4 = 28;
+    p
+}
+
+/// Plays so long, and returns what broke.
+fn play(simulation: &mut Simulation, time: Duration) -> Vec<String> {
+    let steps = time.as_secs() * STEPS_A_SECOND;
+    for _ in 0..steps {
+        let mut broken = simulation.step();
+        broken.extend(simulation.unaccounted());
+        if !broken.is_empty() {
+            return broken;
+        }
+    }
+    Vec::new()
+}
+
+/// How the controllers come back.
+#[derive(Clone, Copy, Debug)]
+enum Return {
+    Together,
+    /// The first one dies amid reconciliation, after this time, and so on three times.
+    Dying(Duration),
+}
+
+/// The controllers are away for less than a heartbeat, for part of a lease, for just a lease and for
+/// several, and come back in both ways, under the troubles of every day and under many.
+#[test]
+fn nothing_is_started_twice_however_long_the_controllers_are_away() {
+    let outages = [
+        ms(600),
+        secs(8),
+        secs(LEASE),
+        secs(LEASE) + ms(300),
+        secs(55),
+    ];
+    let returns = [
+        Return::Together,
+        Return::Dying(ms(700)),
+        Return::Dying(ms(2500)),
+    ];
+    let mut seed = 100;
+    for outage in outages {
+        for back in returns {
+            for troubles in [Troubles::none(), Troubles::many()] {
+                seed += 1;
+                let mut s = Simulation::with(seed, 24, troubles, paced(600.0, 600.0));
+                let mut broken = play(&mut s, secs(30));
+                s.end_all_controllers(outage);
+                if let Return::Dying(after) = back {
+                    for _ in 0..3 {
+                        broken.extend(play(&mut s, outage));
+                        broken.extend(play_for(&mut s, after));
+                        s.end_all_controllers(ms(300));
+                    }
+                }
+                broken.extend(play(&mut s, outage + secs(40)));
+                assert!(
+                    broken.is_empty(),
+                    "seed {seed} {outage:?} {back:?}: {broken:?}"
+                );
+                assert!(s.tasks_done() > 0);
+            }
+        }
+    }
+}
+
+/// As `play`, for parts of a second.
+fn play_for(simulation: &mut Simulation, time: Duration) -> Vec<String> {
+    let steps = time.as_millis() as u64 / (1000 / STEPS_A_SECOND);
+    (0..steps).flat_map(|_| simulation.step()).collect()
+}
+
+/// The most orders that any second holds.
+fn peak(times: &mut [Instant]) -> usize {
+    times.sort_unstable();
+    let (mut first, mut most) = (0, 0);
+    for (last, time) in times.iter().enumerate() {
+        while *time >= times[first] + secs(1) {
+            first += 1;
+        }
+        most = most.max(last + 1 - first);
+    }
+    most
+}
+
+/// Orders that machines carried out in a time: the peak of the fleet and of the worst segment.
+fn peaks(simulation: &Simulation, time: std::ops::Range<Instant>) -> (usize, usize) {
+    let mut all: Vec<Instant> = Vec::new();
+    let mut segments: BTreeMap<String, Vec<Instant>> = BTreeMap::new();
+    for worker in simulation.workers.values() {
+        let orders = worker.orders.iter().filter(|t| time.contains(t));
+        let address = simulation::worker::endpoint(&worker.id);
+        let address = address.parse().expect("an address");
+        let segment = worker_segment(address);
+        segments.entry(segment).or_default().extend(orders.clone());
+        all.extend(orders);
+    }
+    let worst = segments.values_mut().map(|times| peak(times)).max();
+    (peak(&mut all), worst.unwrap_or(0))
+}
+
+fn worker_segment(address: std::net::SocketAddr) -> String {
+    let params = paced(1.0, 1.0);
+    let map = cypressgap_recovery::segments::SegmentMap::new(&[], params.recovery.prefixes);
+    map.of(address.ip()).to_string()
+}
+
+/// A fleet in full use whose leases all ran out, or did not, and a second leader that follows the first
+/// amid the work.
+#[test]
+fn no_second_holds_more_orders_than_the_settings_allow() {
+    const FLEET: f64 = 60.0;
+    const SEGMENT: f64 = 25.0;
+    for (seed, outage) in [(1, secs(5)), (2, secs(60))] {
+        let mut p = paced(FLEET, SEGMENT);
+        p.teams = vec![team("red", 2000.0, 2000.0)];
+        p.tuning.max_hosts = 100;
+        let mut s = Simulation::with(seed, 100, Troubles::none(), p);
+        s.submits = false;
+        s.run = Some(secs(12));
+        s.submit_jobs(150, "red", 40, 1.0);
+        assert_eq!(play(&mut s, secs(25)), Vec::<String>::new());
+        s.end_all_controllers(outage);
+        assert_eq!(play(&mut s, outage), Vec::<String>::new());
+        let back = s.now;
+        assert_eq!(play(&mut s, secs(4)), Vec::<String>::new());
+        s.end_all_controllers(ms(500));
+        let mut over = None;
+        for _ in 0..120 * STEPS_A_SECOND {
+            assert_eq!(s.step(), Vec::<String>::new());
+            let is_over = s.leading().is_some_and(|c| c.takeover.is_over());
+            over = over.or(is_over.then_some(s.now));
+        }
+        let over = over.expect("the takeover is over before long");
+        let (fleet, segment) = peaks(&s, back..over);
+        assert!(fleet as f64 <= FLEET, "{outage:?}: {fleet}");
+        assert!(segment as f64 <= SEGMENT, "{outage:?}: {segment}");
+        assert!(fleet > 20, "{outage:?}: {fleet}, orders were given");
+    }
+}
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -6,6 +6,7 @@
 use cypressgap::core::cluster::{Action, Answer, Cluster};
 use cypressgap::core::ledger::{Batch, BatchOutcome};
 use cypressgap::core::model::*;
+use cypressgap_recovery::settings::RecoverySettings;
 use std::collections::{BTreeMap, HashMap};
 use std::time::{Duration, Instant};
 
@@ -68,6 +69,7 @@
         value_bytes: 8192,
         list_lag: secs(8),
         tuning: Tuning::default(),
+        recovery: RecoverySettings::default(),
     }
 }
 
--- /dev/null
+++ b/tests/end_to_end/cold_restart.rs
@@ -0,0 +1,190 @@
+//! All controller processes are killed at once and come back: what runs is started once, and the machines
+//! get no burst of orders. Counted at the stand-in workers.
+
+use super::standins::process::Node;
+use super::standins::site::*;
+use super::standins::*;
+use cypressgap::core::model::{Epoch, Term};
+use std::collections::BTreeMap;
+use std::net::Ipv4Addr;
+use std::time::{Duration, Instant};
+
+const NODES: usize = 3;
+const MACHINES: u8 = 40;
+const JOBS: u64 = 4;
+const TASKS: u64 = 40;
+const ALL: usize = (JOBS * TASKS) as usize;
+/// Orders a second.
+const FLEET: usize = 40;
+const SEGMENT: usize = 25;
+
+fn operators(enabled: bool) -> String {
+    let switch = if enabled { "#t" } else { "#f" };
+    format!(
+        "(cypressgap (max-hosts 100)
+           (recovery (enabled {switch}) (orders-per-s {FLEET}) (segment-orders-per-s {SEGMENT})))"
+    )
+}
+
+/// Controllers and machines in two segments.
+struct Cluster {
+    site: Site,
+    nodes: Vec<Option<Node>>,
+    workers: Vec<Worker>,
+    enabled: bool,
+}
+
+impl Cluster {
+    fn start(enabled: bool) -> Cluster {
+        let site = Site::new(NODES);
+        let machine = |n: u8| {
+            let address = Ipv4Addr::new(127, 0, 1 + n % 2, 1 + n);
+            let (run, pause) = (Duration::from_secs(600), Duration::from_millis(300));
+            Worker::start_at(address, &format!("i-{n}"), run, pause, site.names.clone())
+        };
+        let workers = (0..MACHINES).map(machine).collect();
+        let mut cluster = Cluster {
+            site,
+            nodes: Vec::new(),
+            workers,
+            enabled,
+        };
+        cluster.nodes.resize_with(NODES, || None);
+        cluster.start_nodes();
+        cluster
+    }
+
+    fn start_nodes(&mut self) {
+        for n in 0..NODES {
+            self.start_node(n);
+        }
+    }
+
+    fn start_node(&mut self, n: usize) {
+        let edit = |text: String| {
+            text.replace("cpus_max = 128.0", "cpus_max = 4000.0")
+                .replace("report_s = 3.0", "report_s = 0.5")
+        };
+        let operators = operators(self.enabled);
+        self.nodes[n] = Some(Node::start(&self.site, n, edit, &operators));
+    }
+
+    fn kill_all(&mut self) {
+        for node in self.nodes.iter_mut().filter_map(Option::take) {
+            node.kill();
+        }
+    }
+
+    /// The node that leads, by the leader key.
+    fn leader(&self) -> Option<usize> {
+        let member = self.site.state.value("ctl/leader")?.text("member");
+        self.site.names.iter().position(|n| n.0 == member)
+    }
+
+    /// Tasks that run, with the machines that they run on. Each on one at most.
+    fn running(&self) -> BTreeMap<String, usize> {
+        let mut running = BTreeMap::new();
+        for (n, worker) in self.workers.iter().enumerate() {
+            for task in worker.running_tasks() {
+                let before = running.insert(task.clone(), n);
+                assert_eq!(before, None, "{task} runs twice");
+            }
+        }
+        running
+    }
+
+    fn await_all_running(&self) {
+        until("all tasks run", || {
+            (self.running().len() == ALL).then_some(())
+        });
+    }
+
+    fn starts(&self) -> usize {
+        self.workers.iter().map(|w| w.starts().len()).sum()
+    }
+
+    /// Until all machines know a later term. Returns it.
+    fn await_term_after(&self, term: Term) -> Term {
+        let terms = || self.workers.iter().map(|w| Epoch(w.epoch()).term()).min();
+        until("the machines know the next term", || {
+            terms().filter(|t| *t > term)
+        })
+    }
+
+    /// The most orders in any two seconds from some time on, to the fleet and to one segment.
+    fn peaks(&self, from: Instant) -> (usize, usize) {
+        let orders = |segment: Option<usize>| {
+            let workers = self.workers.iter().enumerate();
+            let workers = workers.filter(|(n, _)| segment.is_none_or(|s| n % 2 == s));
+            let mut times: Vec<Instant> = workers.flat_map(|(_, w)| w.orders()).collect();
+            times.retain(|t| *t >= from);
+            times
+        };
+        let segment = (0..2).map(|s| peak_of_two_seconds(orders(Some(s)))).max();
+        (peak_of_two_seconds(orders(None)), segment.unwrap_or(0))
+    }
+}
+
+/// Two seconds, since what is sent evenly comes unevenly on a busy machine.
+fn peak_of_two_seconds(mut times: Vec<Instant>) -> usize {
+    times.sort_unstable();
+    let within = |from: &Instant| {
+        let end = *from + Duration::from_secs(2);
+        times.iter().filter(|t| *t >= from && **t < end).count()
+    };
+    times.iter().map(within).max().unwrap_or(0)
+}
+
+#[test]
+fn all_controllers_killed_and_back() {
+    let mut cluster = Cluster::start(true);
+    let node = cluster.site.names[0].1;
+    for job in 0..JOBS {
+        submit(node, &format!("wk-{:06}", job + 1), TASKS);
+    }
+    cluster.await_all_running();
+    assert_eq!(cluster.starts(), ALL);
+
+    // Shorter than a lease, and the state service is back later than they are.
+    let term = cluster.await_term_after(Term(0));
+    cluster.kill_all();
+    let out = cluster.site.state.out.clone();
+    out.store(true, std::sync::atomic::Ordering::SeqCst);
+    cluster.start_nodes();
+    std::thread::sleep(Duration::from_secs(1));
+    out.store(false, std::sync::atomic::Ordering::SeqCst);
+    let term = cluster.await_term_after(term);
+    assert_eq!(cluster.running().len(), ALL);
+    assert_eq!(cluster.starts(), ALL, "what runs is not started again");
+
+    // All leases run out meanwhile; and the first leader dies while it starts the tasks again.
+    cluster.kill_all();
+    for w in &cluster.workers {
+        w.leased(Duration::from_millis(700));
+    }
+    until("all leases ran out", || {
+        let spent = |w: &Worker| w.running() == 0 && w.sessions_ended() > 0;
+        cluster.workers.iter().all(spent).then_some(())
+    });
+    for w in &cluster.workers {
+        w.leased(Duration::ZERO);
+    }
+    let back = Instant::now();
+    cluster.start_nodes();
+    until("some are started again", || {
+        (cluster.starts() > ALL + FLEET / 4).then_some(())
+    });
+    let leader = cluster.leader().expect("one leads");
+    if let Some(node) = cluster.nodes[leader].take() {
+        node.kill();
+    }
+    cluster.await_term_after(Term(term.0 + 1));
+    cluster.start_node(leader);
+    cluster.await_all_running();
+    let (fleet, segment) = cluster.peaks(back);
+    println!("orders in two seconds: fleet {fleet}, segment {segment}");
+    assert!(fleet <= 2 * FLEET, "{fleet}");
+    assert!(segment <= 2 * SEGMENT, "{segment}");
+    assert_eq!(cluster.starts(), 2 * ALL, "each was started once more");
+    cluster.kill_all();
+}
--- a/tests/end_to_end/main.rs
+++ b/tests/end_to_end/main.rs
@@ -4,6 +4,7 @@
 
 mod cascades;
 mod close_looks;
+mod cold_restart;
 mod side_by_side;
 #[path = "../standins/mod.rs"]
 mod standins;
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -157,7 +157,51 @@
         ),
         ("(other (handlers 4))", "line 1", "cypressgap"),
         ("(cypressgap (handlers 4)", "line 1", "S-expression"),
+        (
+            "(cypressgap\n (recovery\n  (colour 3)))",
+            "line 3",
+            "recovery: unknown setting 'colour'",
+        ),
+        (
+            "(cypressgap (recovery\n (orders-per-s 0)))",
+            "line 2",
+            "orders-per-s",
+        ),
+        (
+            "(cypressgap (recovery\n\n (orders-per-s 100)))",
+            "line 3",
+            "recovery: orders-per-s: 100 orders a second cannot reach 5000 machines",
+        ),
+        (
+            "(cypressgap (max-hosts 100) (recovery (orders-per-s 100)\n (segment-orders-per-s 200)))",
+            "line 2",
+            "segment-orders-per-s: 200 is above orders-per-s, 100",
+        ),
+        (
+            "(cypressgap (recovery (segment \"a\" \"10.0.0.0/8\")\n (segment \"b\" \"10.1.0.0/16\")))",
+            "line 2",
+            "segment b: 10.1.0.0/16 overlaps",
+        ),
+        (
+            "(cypressgap (recovery (segment \"a\" \"10.0.0.1/8\")))",
+            "line 1",
+            "10.0.0.0/8 is meant",
+        ),
+        (
+            "(cypressgap (recovery (enabled yes)))",
+            "line 1",
+            "#t or #f",
+        ),
     ];
+    let recovery =
+        "(cypressgap (recovery (enabled #f) (segment \"rack\" \"10.1.7.0/24\") (segment-prefix 20)
+        (unrecorded-hold-s 30)))";
+    let mut other = s.clone();
+    other.parse_operators("o.lisp", recovery).unwrap();
+    let recovery = &other.params.recovery;
+    assert!(!recovery.enabled && recovery.segments.len() == 1);
+    assert_eq!(recovery.prefixes.v4, 20);
+    assert_eq!(recovery.unrecorded_hold, Duration::from_secs(30));
     s.quota.sockets = 300;
     for (text, line, problem) in cases {
         let mut s = s.clone();
--- a/tests/standins/site.rs
+++ b/tests/standins/site.rs
@@ -59,6 +59,29 @@
         }
     }
 
+    /// The platform's settings of a node.
+    pub fn config(&self, n: usize) -> String {
+        let seeds = (0..self.names.len()).filter(|m| *m != n).map(|m| {
+            let (member, address) = (&self.names[m].0, self.to_peer[m].address);
+            format!(
+                "[[seeds]]\nmember = \"{member}\"\ndomain = \"hall-a\"\naddress = \"{address}\"\n"
+            )
+        });
+        let example = include_str!("../../examples/node.toml");
+        let deployment = example.find("[deployment]").expect("the example");
+        format!(
+            "member = \"{}\"\ndomain = \"hall-a\"\nfront = \"{}\"\npeer_bind = \"{}\"\n{}\
+             [endpoints]\ncloud = \"{}\"\nstate = \"{}\"\n{}",
+            self.names[n].0,
+            self.names[n].1,
+            self.peers[n],
+            seeds.collect::<String>(),
+            self.cloud,
+            self.to_state[n].address,
+            &example[deployment..]
+        )
+    }
+
     pub fn start(&self, n: usize) -> Service {
         self.start_with(n, |_| {})
     }
