--- a/src/runtime/elector.rs
+++ b/src/runtime/elector.rs
@@ -274,7 +274,10 @@
     let longer = 1.0 + strain.min(MOST_LONGER);
     *lease_duration = shared.settings.operations.leader_lease.mul_f64(longer);
     let lease = shared.store.lease(*lease_duration, CALL)?;
-    let term = old + 1;
+    // Above all terms that workers and peers have shown, too: a state service that was put back to an
+    // earlier state would give out numbers that are in use.
+    let shown = shared.view.read().highest;
+    let term = old.max(shown.0) + 1;
     let won = |leader_stamp| Won {
         term: Term(term),
         leader_stamp,
--- a/tests/end_to_end/cold_restart.rs
+++ b/tests/end_to_end/cold_restart.rs
@@ -188,3 +188,42 @@
     assert_eq!(cluster.starts(), 2 * ALL, "each was started once more");
     cluster.kill_all();
 }
+
+/// The state service is put back to an earlier state while a task runs. It is neither killed nor started
+/// again, and belongs to its job once its user has submitted that again.
+#[test]
+fn work_goes_on_though_the_state_service_lost_its_job() {
+    let site = Site::new(1);
+    let node = site.names[0].1;
+    let worker = Worker::start("i-1", Duration::from_secs(600), site.names.clone());
+    let start = || Node::start(&site, 0, |text| text, "(cypressgap)");
+    let term = || Epoch(worker.epoch()).term();
+    // Several terms, so that the numbers of the first ones are in use when it begins anew.
+    for n in 0..3 {
+        let process = start();
+        until("a term begins", || (term() > Term(n)).then_some(()));
+        process.kill();
+    }
+    let process = start();
+    submit(node, "wk-000001", 1);
+    until("the task runs", || (worker.running() == 1).then_some(()));
+    let before = term();
+    process.kill();
+    site.state.put_back();
+    let process = start();
+    until("a later term leads", || (term() > before).then_some(()));
+    // Nobody knows what the task takes and whose it is, so nothing is started beside it.
+    submit(node, "wk-000002", 1);
+    std::thread::sleep(Duration::from_secs(3));
+    assert_eq!((worker.running(), worker.starts().len()), (1, 1));
+    submit(node, "wk-000001", 1);
+    until("the other job starts", || {
+        (worker.running() == 2).then_some(())
+    });
+    worker.runs_for(Duration::from_millis(100));
+    for uid in ["wk-000001", "wk-000002"] {
+        until("done", || (phase(node, uid)? == "done").then_some(()));
+    }
+    assert_eq!(worker.starts().len(), 2, "each was started once");
+    process.kill();
+}
--- a/tests/recovery.rs
+++ b/tests/recovery.rs
@@ -424,3 +424,94 @@
         "at 0.3 of cancel_s"
     );
 }
+
+#[test]
+fn a_team_at_its_limit_with_all_attempts_unheard_starts_nothing() {
+    let mut p = params();
+    p.teams = vec![team("red", 8.0, 8.0)];
+    let jobs = vec![spec("wk-000001", 2, 4.0), spec("wk-000002", 2, 4.0)];
+    let mut w = taken_over(p, jobs, 2);
+    w.heartbeat("i-9", 1, vec![]);
+    assert_eq!(launches(&w.settle()), vec![]);
+    // One proves to be gone: its own launch comes first, as the same attempt.
+    let (_, d) = w.heartbeat("i-0", 1, vec![]);
+    assert_eq!(d.iter().filter_map(launched_index).collect::<Vec<_>>(), [0]);
+    assert_eq!(red(&w), 8.0);
+}
+
+/// What ended while nobody listened -> whether the job that waited for it starts.
+#[test]
+fn a_dependency_that_ended_while_nobody_listened_is_known() {
+    for (end, starts) in [
+        (Some(Verdict::Done), 1),
+        (Some(Verdict::Cancelled), 0),
+        (None, 0),
+    ] {
+        let mut dependent = spec("wk-000002", 1, 4.0);
+        dependent.needs = vec!["wk-000099".into()];
+        let mut w = World::new();
+        let picture = StoredPicture {
+            jobs: vec![IndexedJob {
+                spec: dependent,
+                stamp: 50,
+            }],
+            ends: end.map(|e| ("wk-000099".into(), e)).into_iter().collect(),
+            ..StoredPicture::default()
+        };
+        w.c.take_over(w.now, picture);
+        w.heartbeat("i-9", 1, vec![]);
+        assert_eq!(launches(&w.settle()).len(), starts, "{end:?}");
+    }
+}
+
+/// Confirmed in the last second before the fault, by its verdict or by its mark: what runs is killed with the
+/// first report, what does not is never launched again.
+#[test]
+fn a_cancellation_of_the_last_second_holds() {
+    for marked in [true, false] {
+        let mut w = World::new();
+        let active = vec![(0, EARLIER, "i-0".into()), (1, EARLIER, "i-1".into())];
+        let picture = StoredPicture {
+            jobs: vec![IndexedJob {
+                spec: spec("wk-000001", 2, 4.0),
+                stamp: 50,
+            }],
+            over: (!marked)
+                .then(|| (uid(), Verdict::Cancelled))
+                .into_iter()
+                .collect(),
+            cancel_marks: marked.then(uid).into_iter().collect(),
+            chunks: vec![IndexedChunk {
+                uid: uid(),
+                index: 0,
+                value: ChunkValue { done: 0, active },
+                stamp: 90,
+            }],
+            ..StoredPicture::default()
+        };
+        w.c.take_over(w.now, picture);
+        let (_, d) = w.heartbeat("i-0", 1, vec![running(0)]);
+        assert!(d.iter().any(is_kill), "{d:?}");
+        let (_, d) = w.heartbeat("i-1", 1, vec![]);
+        assert_eq!(d, vec![]);
+        assert_eq!(launches(&w.settle()), vec![]);
+    }
+}
+
+/// Its record cannot be read, and the state service says that it is live: nothing is known against it.
+#[test]
+fn work_of_a_job_whose_record_cannot_be_read_is_held() {
+    let mut w = World::new();
+    let picture = StoredPicture {
+        unreadable_jobs: vec![uid()],
+        ..StoredPicture::default()
+    };
+    w.c.take_over(w.now, picture);
+    for serial in 1..20 {
+        let (_, d) = w.heartbeat("i-9", serial, vec![running(0)]);
+        assert_eq!(d, vec![], "{serial}");
+        w.c.on_standings(w.now, &[(uid(), Some(Verdict::Live))]);
+        w.pass(secs(10));
+    }
+    assert!(w.c.takeover.holds_host(&"i-9".into()));
+}
--- a/tests/standins/mod.rs
+++ b/tests/standins/mod.rs
@@ -236,6 +236,11 @@
         }
     }
 
+    /// Puts it back to the state that it had at the start: all keys and leases are lost.
+    pub fn put_back(&self) {
+        *self.ledger.0.lock().expect("the ledger") = Ledger::default();
+    }
+
     pub fn fault(&self, prefix: &'static str, fault: Fault) {
         self.faults
             .lock()
