--- a/src/runtime/peer_duties.rs
+++ b/src/runtime/peer_duties.rs
@@ -3,7 +3,8 @@
 use super::budget::Demand;
 use super::elector::ElectorEvent;
 use super::events::{Event, Order, SendOrder};
-use super::service::{Shared, AWAITED_RELAYED};
+use super::heartbeats::AWAITED_RELAYED;
+use super::service::Shared;
 use super::view::{PeerStatus, RoleView};
 use crate::core::model::{HostId, ImageKey, Term, Uid};
 use crate::core::watermark::{Moment, Statement};
