Urgent launches may use a takeover's reserve, forgets come last; the default pace is twice as high

Urgent launches waited behind forgets and idle work, and rounds start many tasks at once.

Change: forgets are a class of their own that leaves half of what a bucket keeps to others; launches of urgent jobs are prompt; 1200 orders a second to the fleet and 600 to a segment where operators set none.

--- a/crates/recovery/src/orders.rs
+++ b/crates/recovery/src/orders.rs
@@ -104,7 +104,7 @@
             && !self.waiting.is_empty()
             && !self.in_turn.contains(host);
         if queued || !self.pace.admit(now, segment, class) {
-            self.defer(now, host);
+            self.defer(now, host, class);
             return false;
         }
         self.given += 1;
@@ -145,9 +145,13 @@
         self.pace.acknowledged(segment, repeated);
     }
 
-    fn defer(&mut self, now: Instant, host: &HostId) {
+    fn defer(&mut self, now: Instant, host: &HostId, class: OrderClass) {
         self.deferred += 1;
         self.last_deferral = Some(now);
+        if class == OrderClass::Background {
+            // The next report brings it up again.
+            return;
+        }
         self.in_turn.remove(host);
         if self.is_waiting.insert(host.clone()) {
             self.waiting.push_back(host.clone());
@@ -177,8 +181,7 @@
         self.acknowledge(host, |_| true);
     }
 
-    /// Machines whose turn it is now: as many as the pace has room for. An order that goes only with the
-    /// answer to a report is given with the next one.
+    /// Machines whose turn it is now: as many as the pace has room for.
     pub fn take_waiting(&mut self, now: Instant) -> Vec<HostId> {
         if self.waiting.is_empty() {
             return Vec::new();
--- a/crates/recovery/src/pacing.rs
+++ b/crates/recovery/src/pacing.rs
@@ -23,9 +23,11 @@
 /// How long an order may wait.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum OrderClass {
+    /// For the pace, and behind all others: forgets, which nobody waits for.
+    Background,
     /// For the pace.
     Ordinary,
-    /// For the pace, but it may use what is reserved: cancellations, and stops with a time limit.
+    /// For the pace, but it may use what is reserved: cancellations, stops with a time limit, urgent work.
     Prompt,
     /// Not at all: it ends what breaks a rule. It is charged all the same.
     Immediate,
@@ -54,14 +56,18 @@
         let passed = now.saturating_duration_since(self.refilled).as_secs_f64();
         self.refilled = now;
         let fresh = passed * self.limit * REFILL_PART * part;
-        // Below one token nothing would ever go out.
-        let most = (self.limit * KEPT_PART).max(1.0);
-        self.tokens = (self.tokens + fresh).min(most);
+        self.tokens = (self.tokens + fresh).min(self.kept());
+    }
+
+    /// What it holds at most. With less than one token nothing would ever go out.
+    fn kept(&self) -> f64 {
+        (self.limit * KEPT_PART).max(1.0)
     }
 
     /// Whether an order of this class may go out now.
     pub fn admits(&self, class: OrderClass) -> bool {
         match class {
+            OrderClass::Background => self.tokens >= (self.kept() / 2.0).max(1.0),
             OrderClass::Ordinary => self.tokens >= 1.0,
             OrderClass::Prompt => self.tokens >= 1.0 - self.limit * RESERVED_PART,
             OrderClass::Immediate => true,
--- a/crates/recovery/src/settings.rs
+++ b/crates/recovery/src/settings.rs
@@ -11,8 +11,8 @@
 pub const CANCELLATION_PART: f64 = 0.3;
 
 /// Paces where operators set none and the deployment asks for no more.
-const DEFAULT_FLEET_PACE: f64 = 600.0;
-const DEFAULT_SEGMENT_PACE: f64 = 300.0;
+const DEFAULT_FLEET_PACE: f64 = 1200.0;
+const DEFAULT_SEGMENT_PACE: f64 = 600.0;
 
 /// What operators may set.
 #[derive(Clone, Debug, PartialEq)]
--- a/crates/recovery/tests/pacing.rs
+++ b/crates/recovery/tests/pacing.rs
@@ -99,6 +99,7 @@
         TokenBucket::new(500.0, start).left() <= 5,
         "nor of a large one"
     );
+    assert!(!bucket.admits(OrderClass::Background));
     assert!(bucket.admits(OrderClass::Prompt), "what is reserved");
     assert!(bucket.admits(OrderClass::Immediate));
     for _ in 0..50 {
@@ -110,6 +111,20 @@
     assert!(bucket.admits(OrderClass::Ordinary));
 }
 
+#[test]
+fn forgets_leave_room_for_everything_else() {
+    let start = Instant::now();
+    let mut bucket = TokenBucket::new(1000.0, start);
+    bucket.refill(start + Duration::from_secs(2), 1.0);
+    let mut forgets = 0;
+    while bucket.admits(OrderClass::Background) {
+        bucket.take();
+        forgets += 1;
+    }
+    assert_eq!(forgets, 51, "half of what the bucket keeps");
+    assert!(bucket.left() >= 49 && bucket.admits(OrderClass::Ordinary));
+}
+
 #[test]
 fn an_order_is_repeated_only_after_a_while_and_not_in_step() {
     let settings = settings();
--- a/src/core/commands.rs
+++ b/src/core/commands.rs
@@ -3,7 +3,7 @@
 use super::cluster::{Action, Answer, Cluster};
 use super::entities::{Active, Kill};
 use super::launch_check::LaunchCheck;
-use super::model::{Attempt, Directive, Epoch, HostId, Report, TaskId, TaskPhase, Term};
+use super::model::{Attempt, Directive, Epoch, HostId, Report, TaskId, TaskPhase, Term, Urgency};
 use cypressgap_recovery::pacing::OrderClass;
 use std::collections::HashSet;
 use std::time::{Duration, Instant};
@@ -121,7 +121,12 @@
             task: task.clone(),
             attempt,
         };
-        if !self.admit(now, host, &launch, OrderClass::Ordinary) {
+        let class = if job.spec.urgency >= Urgency::High {
+            OrderClass::Prompt
+        } else {
+            OrderClass::Ordinary
+        };
+        if !self.admit(now, host, &launch, class) {
             return None;
         }
         let job = self.jobs.get_mut(&task.uid)?;
--- a/src/core/reports.rs
+++ b/src/core/reports.rs
@@ -295,7 +295,7 @@
             self.admit(now, host, kill, OrderClass::Immediate);
         }
         let mut forgets = tasks.forgets;
-        forgets.retain(|forget| self.admit(now, host, forget, OrderClass::Ordinary));
+        forgets.retain(|forget| self.admit(now, host, forget, OrderClass::Background));
         let Some(h) = self.hosts.get_mut(host) else {
             return Answer::Ignore;
         };
--- a/tests/evidence.rs
+++ b/tests/evidence.rs
@@ -341,6 +341,7 @@
     let uid = Uid::from("wk-000009");
     let running = || shown("wk-000009", 0, Attempt(3), TaskPhase::Running);
     let ended = shown("wk-000009", 1, Attempt(3), TaskPhase::Ended(Exit::Done));
+    w.pass(secs(2));
     let (before, d) = w.heartbeat("i-1", 1, vec![running(), ended]);
     assert!(matches!(d[..], [Directive::Forget { .. }]), "{d:?}");
     assert!(w.c.jobs_to_ask().contains(&uid));
