--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -29,6 +29,7 @@
 pub mod start_limiter;
 pub mod status_reads;
 pub mod takeover;
+mod task_states;
 pub mod team_use;
 mod termination;
 mod unrecorded;
--- a/src/core/reports.rs
+++ b/src/core/reports.rs
@@ -5,8 +5,7 @@
 use super::entities::Host;
 use super::launch_check::LaunchCheck;
 use super::model::{
-    Attempt, Directive, Epoch, Exit, HostId, Need, Report, TaskId, TaskPhase, TaskReport, TeamName,
-    Uid,
+    Attempt, Directive, Epoch, HostId, Need, Report, TaskId, TaskPhase, TaskReport, TeamName, Uid,
 };
 use super::unrecorded::UnrecordedTask;
 use cypressgap_recovery::pacing::OrderClass;
@@ -321,126 +320,6 @@
         }
     }
 
-    pub(super) fn progress(&mut self, now: Instant, r: &Report, task: &TaskId, phase: TaskPhase) {
-        let cache = self.host_type(&r.host_type).map_or(0.0, |t| t.cache_gb);
-        let nominal = self
-            .host_type(&r.host_type)
-            .map_or(0.0, |t| t.fetch_gb_per_s);
-        let Some(job) = self.jobs.get_mut(&task.uid) else {
-            return;
-        };
-        let (image, gb) = (job.image, job.spec.image_gb);
-        let Some(a) = job.active.get_mut(&task.index) else {
-            return;
-        };
-        a.tenure = Some(r.tenure);
-        let first = a.seen.is_none();
-        let was_fetching = matches!(a.seen, None | Some(TaskPhase::Fetching));
-        a.seen = Some(phase);
-        match phase {
-            TaskPhase::Fetching => {
-                a.waited = Some(now);
-                if let Some(h) = self.hosts.get_mut(&r.host) {
-                    h.fetching.entry(image).or_insert((now, gb));
-                }
-            }
-            _ => {
-                let (host, placed) = (r.host.clone(), a.placed);
-                let mut started = false;
-                if phase == TaskPhase::Running && a.running_since.is_none() {
-                    a.running_since = Some(now);
-                    // Seen running at once after a takeover: when it started is not known.
-                    a.measured = !first || a.launch_epoch.term() == r.epoch.term();
-                    started = a.measured;
-                }
-                if started {
-                    self.waits.push(now.saturating_duration_since(placed));
-                }
-                if let Some(h) = self.hosts.get_mut(&host) {
-                    if was_fetching {
-                        if let Some((since, gb)) = h.fetching.get(&image).copied() {
-                            if h.fetching.len() == 1 && !first {
-                                let took = now.saturating_duration_since(since);
-                                self.history.fetched(&r.host_type, nominal, gb, took);
-                            }
-                        }
-                    }
-                    h.cached(image, gb, cache);
-                }
-            }
-        }
-    }
-
-    pub(super) fn ended(&mut self, now: Instant, r: &Report, task: &TaskId, exit: Exit) {
-        let uid = &task.uid;
-        let Some(a) = self.gone(now, uid, task.index, exit == Exit::Done) else {
-            return;
-        };
-        log::debug!("task ended task={task} host={} exit={exit:?}", r.host);
-        let ran = a
-            .running_since
-            .filter(|_| a.measured)
-            .map(|s| now.saturating_duration_since(s));
-        let Some(job) = self.jobs.get_mut(uid) else {
-            return;
-        };
-        let h = self.hosts.get_mut(&r.host);
-        match exit {
-            Exit::Done => {
-                job.unknowns = 0;
-                if let Some(h) = h {
-                    if let Some(took) = ran.filter(|_| a.kill.is_none()) {
-                        let est = a.est.as_secs_f64().max(0.1);
-                        let known = job.done_count > 1;
-                        if known {
-                            let ratio = (took.as_secs_f64().max(0.1) / est).ln();
-                            h.slowness.add(ratio.clamp(-1.0, 3.0));
-                        }
-                    }
-                }
-                if let Some(took) = ran {
-                    if !job.progress.contains_key(&task.index) {
-                        self.history.ran(&job.spec, &r.host_type, took);
-                    }
-                }
-                self.succeeded(now, uid, &r.host);
-            }
-            Exit::Stopped { stored } => {
-                if let Some(took) = ran.filter(|_| job.spec.saves()) {
-                    let every = job.spec.snapshot_every.as_secs_f64();
-                    let kept = if stored {
-                        took.as_secs_f64()
-                    } else {
-                        (took.as_secs_f64() / every).floor() * every
-                    };
-                    *job.progress.entry(task.index).or_default() += Duration::from_secs_f64(kept);
-                }
-            }
-            Exit::Error => {
-                let began = a.running_since.or(a.waited).unwrap_or(a.placed);
-                let after = now.saturating_duration_since(began);
-                log::info!(
-                    "task failed task={task} host={} failures={}",
-                    r.host,
-                    job.errors + 1
-                );
-                self.failed(now, uid, &r.host, after);
-            }
-            Exit::NoRoom | Exit::InUse => {
-                if let Some(h) = h {
-                    h.avoid_until = Some(now + Duration::from_secs(4));
-                }
-            }
-            Exit::Unknown => {
-                // The worker could not fetch the description (yet): soon again, then ever later.
-                job.unknowns += 1;
-                let wait = 500u64 << job.unknowns.min(5);
-                job.backoff_until = Some(now + Duration::from_millis(wait));
-            }
-            Exit::Peers | Exit::Incomplete => {}
-        }
-    }
-
     /// Whether the report shows what the host was told a while ago. A machine whose reports come
     /// through while nothing reaches it would otherwise be given task after task.
     pub(super) fn check_acknowledged(
--- a/tests/cold_restart.rs
+++ b/tests/cold_restart.rs
@@ -7,6 +7,7 @@
 mod common;
 mod simulation;
 
+use common::peaks::peak;
 use common::{secs, team};
 use cypressgap::core::model::Params;
 use simulation::{tight_params, Simulation, Troubles};
@@ -98,19 +99,6 @@
     (0..steps).flat_map(|_| simulation.step()).collect()
 }
 
-/// The most orders that any second holds.
-fn peak(times: &mut [Instant]) -> usize {
-    times.sort_unstable();
-    let (mut first, mut most) = (0, 0);
-    for (last, time) in times.iter().enumerate() {
-        while *time >= times[first] + secs(1) {
-            first += 1;
-        }
-        most = most.max(last + 1 - first);
-    }
-    most
-}
-
 /// Orders that machines carried out in a time: the peak of the fleet and of the worst segment.
 fn peaks(simulation: &Simulation, time: std::ops::Range<Instant>) -> (usize, usize) {
     let mut all: Vec<Instant> = Vec::new();
@@ -123,8 +111,9 @@
         segments.entry(segment).or_default().extend(orders.clone());
         all.extend(orders);
     }
-    let worst = segments.values_mut().map(|times| peak(times)).max();
-    (peak(&mut all), worst.unwrap_or(0))
+    let second = secs(1);
+    let worst = segments.into_values().map(|times| peak(times, second));
+    (peak(all, second), worst.max().unwrap_or(0))
 }
 
 fn worker_segment(address: std::net::SocketAddr) -> String {
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code)]
 
 pub mod keys;
+pub mod peaks;
 
 use cypressgap::core::cluster::{Action, Answer, Cluster};
 use cypressgap::core::ledger::{Batch, BatchOutcome};
--- a/tests/end_to_end/cold_restart.rs
+++ b/tests/end_to_end/cold_restart.rs
@@ -1,6 +1,7 @@
 //! All controller processes are killed at once and come back: what runs is started once, and the machines
 //! get no burst of orders. Counted at the stand-in workers.
 
+use super::peaks::peak;
 use super::standins::process::Node;
 use super::standins::site::*;
 use super::standins::*;
@@ -151,19 +152,6 @@
     }
 }
 
-/// The most of these that fall into any such time.
-fn peak(mut times: Vec<Instant>, time: Duration) -> usize {
-    times.sort_unstable();
-    let (mut first, mut most) = (0, 0);
-    for (last, at) in times.iter().enumerate() {
-        while *at >= times[first] + time {
-            first += 1;
-        }
-        most = most.max(last + 1 - first);
-    }
-    most
-}
-
 #[test]
 fn all_controllers_killed_and_back() {
     let mut cluster = Cluster::start(MACHINES, paced(MACHINES));
--- a/tests/end_to_end/main.rs
+++ b/tests/end_to_end/main.rs
@@ -5,6 +5,8 @@
 mod cascades;
 mod close_looks;
 mod cold_restart;
+#[path = "../common/peaks.rs"]
+mod peaks;
 mod report_flood;
 mod side_by_side;
 #[path = "../standins/mod.rs"]
--- a/tests/measure_cold_restart.rs
+++ b/tests/measure_cold_restart.rs
@@ -5,6 +5,7 @@
 mod common;
 mod simulation;
 
+use common::peaks::peak;
 use common::{secs, team};
 use cypressgap::core::cluster::Cluster;
 use cypressgap::core::model::{Params, TaskPhase, Uid};
@@ -59,18 +60,6 @@
     recorded.iter().filter(known).count()
 }
 
-fn peak(mut times: Vec<Instant>) -> usize {
-    times.sort_unstable();
-    let (mut first, mut most) = (0, 0);
-    for (last, time) in times.iter().enumerate() {
-        while *time >= times[first] + secs(1) {
-            first += 1;
-        }
-        most = most.max(last + 1 - first);
-    }
-    most
-}
-
 /// The first 24 bits of a machine's address.
 fn segment(address: &str) -> String {
     address.rsplit_once('.').map_or("", |s| s.0).to_owned()
@@ -137,11 +126,12 @@
             .extend(orders);
     }
     let all = segments.values().flatten().copied().collect();
+    let worst = segments.into_values().map(|times| peak(times, secs(1)));
     Figures {
         broken,
         started_again: started_again.len(),
-        peak_fleet: peak(all),
-        peak_segment: segments.into_values().map(peak).max().unwrap_or(0),
+        peak_fleet: peak(all, secs(1)),
+        peak_segment: worst.max().unwrap_or(0),
         most_reconciled,
         first_start,
         last_start,
