--- a/review/3/test.py
+++ b/review/3/test.py
@@ -1,5 +1,5 @@
-"""A gang runs on three machines that have its image. One of them, a spot machine, is taken back with a notice. The
-machine that replaces it needs longer for the image than `gang_wait_s`."""
+"""The only machine that fits fails a task while it has trouble. The trouble ends, other jobs' tasks complete there, and
+the job whose task failed waits."""
 import os
 import sys
 import time
@@ -9,73 +9,58 @@
 from review.standins.deployment import CannotRun, job, run_case  # noqa: E402
 
 SETTINGS = {
-    "workers": {"report_s": 5.0, "lease_s": 29.0, "gang_wait_s": 50.0, "gang_peer_s": 8.0, "cancel_s": 54.0},
-    "state": {"rps": 150.0, "write_rps": 20.0, "value_kb": 8.0, "txn_ops": 16},
-    "cloud": {"rps": 8.0, "list_lag_s": 3.0},
-    "quota": {"cpu": 0.16, "ram_mb": 136.0, "max_sockets": 2500},
+    "workers": {"report_s": 3.0, "lease_s": 34.0, "gang_wait_s": 50.0, "gang_peer_s": 5.0, "cancel_s": 54.0},
+    "state": {"rps": 200.0, "write_rps": 60.0, "value_kb": 32.0, "txn_ops": 48},
+    "cloud": {"rps": 5.0, "list_lag_s": 8.0},
+    "quota": {"cpu": 0.048, "ram_mb": 200.0, "max_sockets": 3500},
 }
-TYPES = [{"Name": "vision-node", "Vcpus": 16.0, "Gpus": 2.0, "MemoryGb": 64.0, "CacheGb": 120.0, "FetchGbPerS": 0.1,
-          "Hourly": 4.69, "LowPrice": 1.48, "BootS": 40.0, "Sites": ["macedonia-bay"]}]
-TEAMS = [{"name": "bridge-watch", "cpus": 120.0, "cpus_max": 250.0, "gpus": 0.0, "gpus_max": 0.0}]
-GANG, IMAGE, IMAGE_GB, RUN_S, NOTICE_S, WAIT_S = "wk-000100", "img-crack", 6.0, 20.0, 12.5, 100.0
+TYPES = [{"Name": "pick-server", "Vcpus": 32.0, "Gpus": 0.0, "MemoryGb": 128.0, "CacheGb": 60.0, "FetchGbPerS": 0.3,
+          "Hourly": 1.54, "LowPrice": 0.38, "BootS": 20.0, "Sites": ["attica-hall"]}]
+TEAMS = [{"name": "duty-desk", "cpus": 0.0, "cpus_max": 0.0, "gpus": 0.0, "gpus_max": 0.0}]
+LONG, FAILED, SICK_S, WAIT_S = "wk-000001", "wk-000002", 5.0, 90.0
+RUN_S = {LONG: 120.0, FAILED: 5.0}
 
 
-def all_run(d):
-    """Whether all tasks of the gang run, or it is done."""
+def phase_of(d, uid):
     with d.fleet.lock:
-        running = {t.shard for m in d.fleet.hosts.values() for t in m.tasks.values() if t.phase == "running"}
-        return GANG in d.fleet.done or len(running) == 3
-
-
-def has_room(d):
-    """Whether three machines are up and stay, each of which the gang has or could have to itself."""
-    with d.fleet.lock:
-        return sum(1 for m in d.fleet.hosts.values() if m.token > 0 and not m.off and m.taken_at is None) >= 3
+        return [what for _, what, _, shard, _ in d.fleet.events if shard.startswith(uid + "/")]
 
 
 def play(make):
-    machines = [("vision-node", "macedonia-bay", True, [IMAGE])] * 3
-    d = make(SETTINGS, TYPES, TEAMS, machines, boot_s=2.0, capacity=6, run_s=lambda j: RUN_S)
+    d = make(SETTINGS, TYPES, TEAMS, [("pick-server", "attica-hall", False, ["img-01"])], capacity=1,
+             run_s=lambda j: RUN_S.get(j["Uid"], 3.0))
     d.await_ready()
-    gang = job(GANG, "bridge-watch", 3, 15.0, 26.0, RUN_S, JobKind="group", ImageRef=IMAGE, PullGb=IMAGE_GB)
-    if d.submit(1, gang) not in (200, 201):
-        raise CannotRun("the gang was not accepted")
-    until = time.monotonic() + 15.0
-    while not all_run(d):
-        if time.monotonic() > until:
-            raise CannotRun("the gang did not start on machines that have its image")
+    if d.submit(1, job(LONG, "duty-desk", 1, 4.0, 8.0, 100.0)) not in (200, 201):
+        raise CannotRun("the first job was not accepted")
+    while "starts" not in phase_of(d, LONG):
         time.sleep(0.1)
-    d.note("all tasks of the gang run")
-    time.sleep(1.0)
-    taken = None
+    machine = next(iter(d.fleet.hosts.values()))
     if d.trouble:
-        taken = next(iter(d.fleet.hosts))
-        d.note("trouble: %s gets notice that it is taken back in %s s" % (taken, NOTICE_S))
-        d.fleet.take_back(taken, NOTICE_S)
-    room_since, last_poll = None, 0.0
-    while time.monotonic() - d.started < 115.0:
-        time.sleep(0.25)
-        now = time.monotonic()
-        if all_run(d):
-            if GANG in d.fleet.done and d.poll(0, GANG)[1] == "done":
-                d.note_events()
-                return ""
-            room_since = None
-        elif has_room(d):
-            room_since = room_since or now
-        else:
-            room_since = None
-        if now - last_poll > 5.0:
-            last_poll = now
-            d.poll(int(now) % 3, GANG)
-            with d.fleet.lock:
-                for m in d.fleet.hosts.values():
-                    d.note("%s (image %s): %s" % (m.name, "cached" if IMAGE in m.images else "missing",
-                                                  [(t.shard, t.attempt, t.phase) for t in m.tasks.values()]))
-        if room_since and now - room_since > WAIT_S:
+        with d.fleet.lock:
+            machine.sick_until = time.monotonic() + SICK_S
+        d.note("trouble: %s fails every task that it starts, for %s s" % (machine.name, SICK_S))
+    if d.submit(2, job(FAILED, "duty-desk", 1, 8.0, 28.0, 5.0)) not in (200, 201):
+        raise CannotRun("the second job was not accepted")
+    time.sleep(SICK_S + 0.5)
+    d.note("%s: %s" % (FAILED, phase_of(d, FAILED)))
+    if d.trouble and "ends: error" not in phase_of(d, FAILED):
+        raise CannotRun("no task met the trouble")
+    over, number = time.monotonic(), 0
+    while time.monotonic() - over < WAIT_S + 2.0:
+        if number < 4 or number * 20 < time.monotonic() - over:
+            number += 1
+            d.submit(number % 3, job("wk-0001%02d" % number, "duty-desk", 1, 8.0, 28.0, 3.0))
+        time.sleep(4.0)
+        if d.poll(number % 3, FAILED)[1] == "done":
             d.note_events()
-            return "%s did not run for %.0f s though three machines were there for it" % (GANG, now - room_since)
-    raise CannotRun("neither done nor without work for %.0f s" % WAIT_S)
+            return ""
+    with d.fleet.lock:
+        used = sum(t.job["Vcpus"] for t in machine.tasks.values() if t.phase != "ended")
+        done = sorted({s.split("/")[0] for _, what, _, s, _ in d.fleet.events if what == "ends: done"})
+    d.note("%s uses %.0f of %.0f CPUs; done there since: %s" % (machine.name, used, machine.kind["Vcpus"], done))
+    d.note_events()
+    return "%s waits for %.0f s after the trouble, while %s has room and completed %d other jobs" % (
+        FAILED, time.monotonic() - over, machine.name, len(done))
 
 
 run_case(HERE, play)
--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -13,6 +13,7 @@
 ANSWER_TIMEOUT_S = 4.0
 NEXT_NODE_S = 1.0
 TICK_S = 0.05
+FAILURE_S = 1.0
 
 
 class Task:
@@ -23,6 +24,7 @@
         self.started_at = None
         self.flush_ends = None
         self.peer_lost_at = None
+        self.fails_at = None
 
     def on_machine(self):
         return self.phase in ("gathering", "running", "flushing")
@@ -156,6 +158,7 @@
         self.largest_report = 0
         self.hang_until = self.deaf_until = 0.0
         self.taken_at = None
+        self.sick_until = 0.0
 
     def boot(self, boot_s):
         threading.Thread(target=self.run, args=(boot_s,), daemon=True).start()
@@ -341,6 +344,7 @@
                 return self.end(task, "done")
             task.phase, task.ready_at, self.changed = "gathering", now, True
             self.fleet.event("starts", self, task)
+            task.fails_at = now + FAILURE_S if now < self.sick_until else None
             if task.job["JobKind"] != "group":
                 task.phase, task.started_at = "running", now
         if task.phase == "gathering":
@@ -353,6 +357,8 @@
         if task.phase == "flushing" and now >= task.flush_ends:
             return self.end(task, "stopped", True)
         if task.phase == "running":
+            if task.fails_at is not None and now >= task.fails_at:
+                return self.end(task, "error")
             if task.job["JobKind"] == "group":
                 return self.advance_member(task, now, settings)
             if now - task.started_at >= self.fleet.run_s(task.job):
