A job returns to a machine on which it failed, after a time

Cause: the exclusion of a machine for a job ended only by a completed task of the job or by failures on three machines. Neither can happen where one or two machines fit, since the exclusion prevents the start.

Evidence: in a simulated fleet of one machine the job is in each round's queue and has no slot, with all resources free and the machine's own avoidance over.

Change: the exclusion lasts 30 s after the first failure and 60 s after each further one, below the 90 s that users allow. A failure on a machine where another task completed since is further evidence against the job, so that a broken job on a small fleet is suspected after two returns. A debug line names job, machine and time.

--- a/src/core/placement/gang.rs
+++ b/src/core/placement/gang.rs
@@ -84,7 +84,9 @@
             .slots
             .iter()
             .enumerate()
-            .filter(|(_, slot)| slot.ready_at.is_none() && self.may_use_slot(job, slot, &zones))
+            .filter(|(_, slot)| {
+                slot.ready_at.is_none() && self.may_use_slot(round.now, job, slot, &zones)
+            })
             .map(|(index, slot)| {
                 let estimate = self.member_estimate(job, slot, round);
                 MemberCost {
--- a/src/core/placement/preemption/for_resources.rs
+++ b/src/core/placement/preemption/for_resources.rs
@@ -234,7 +234,7 @@
         let mut cheapest: BinaryHeap<Reverse<VictimSet>> = (0..input.slots.len())
             .filter(|i| {
                 let slot = &input.slots[*i];
-                slot.ready_at.is_none() && self.may_use_slot(job, slot, &zones)
+                slot.ready_at.is_none() && self.may_use_slot(input.now, job, slot, &zones)
             })
             .filter_map(|i| self.victims_on(i, preemptor, input, selection))
             .map(Reverse)
--- a/src/core/placement/scoring.rs
+++ b/src/core/placement/scoring.rs
@@ -176,15 +176,21 @@
     }
 
     /// Whether a job may start a task on this slot, given the zones of its active tasks and the machines
-    /// on which it failed.
-    pub(super) fn may_use_slot(&self, job: &Job, slot: &Slot<'_>, zones: &ZoneUse) -> bool {
+    /// on which it failed recently.
+    pub(super) fn may_use_slot(
+        &self,
+        now: Instant,
+        job: &Job,
+        slot: &Slot<'_>,
+        zones: &ZoneUse,
+    ) -> bool {
         let machine = slot.machine;
         // A job suspected of a crash loop has failed on many machines, and most of those machines are
         // healthy.
-        let has_failed_there =
-            !job.crash_loop.is_suspected() && job.crash_loop.has_failed_on(&machine.id);
+        let is_excluded =
+            !job.crash_loop.is_suspected() && job.crash_loop.is_excluded(now, &machine.id);
         let type_name = &self.fleet.types[slot.type_index].name;
-        !has_failed_there && permits(&job.spec, zones, type_name, &machine.zone, machine.spot)
+        !is_excluded && permits(&job.spec, zones, type_name, &machine.zone, machine.spot)
     }
 
     /// The slots that a group may use, as a heap with the lowest score on top.
@@ -196,7 +202,7 @@
         zones: &ZoneUse,
     ) -> BinaryHeap<Reverse<ScoredSlot>> {
         (0..slots.len())
-            .filter(|i| self.may_use_slot(group.job, &slots[*i], zones))
+            .filter(|i| self.may_use_slot(now, group.job, &slots[*i], zones))
             .filter_map(|i| self.score(now, group, slots, i).map(Reverse))
             .collect()
     }
--- a/src/core/placement/tests.rs
+++ b/src/core/placement/tests.rs
@@ -185,7 +185,7 @@
             let mut heap = state.ranked_slots(now, &group, &heap_slots, &zones);
             for _ in 0..spec.task_count {
                 let best = (0..all_slots.len())
-                    .filter(|i| state.may_use_slot(job, &all_slots[*i], &zones))
+                    .filter(|i| state.may_use_slot(now, job, &all_slots[*i], &zones))
                     .filter_map(|i| state.score(now, &group, &all_slots, i))
                     .min();
                 let first = heap.pop().map(|entry| entry.0);
--- a/src/core/state/crash_loop.rs
+++ b/src/core/state/crash_loop.rs
@@ -3,13 +3,17 @@
 //! A job whose tasks failed on several machines, none of which other jobs have shown to be faulty, is
 //! suspected of a crash loop. One task at a time is then retried, at growing intervals. The suspicion ends as
 //! soon as a task of the job completes or runs for far longer than the job's failed tasks ran.
+//!
+//! A machine on which a task of the job failed is excluded for the job's other tasks, for a limited time that
+//! grows with each further failure there. The trouble may have been temporary, and the machine may be the
+//! only one that fits.
 
 use crate::core::model::MachineId;
-use std::collections::HashSet;
+use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
 /// The number of machines on which tasks of a job must have failed for the job to be suspected. Two machines
-/// may be faulty by chance.
+/// may be faulty by chance. A machine counts again if another task completed there before the next failure.
 const MIN_FAILED_MACHINES: usize = 3;
 /// The number of machines on which tasks of a job must have failed for the job to be suspected if the job has
 /// shown that it can run. It is higher than [`MIN_FAILED_MACHINES`] because many machines may become faulty
@@ -19,6 +23,11 @@
 /// [`MAX_RETRY_DELAY`].
 const FIRST_RETRY_DELAY: Duration = Duration::from_secs(5);
 const MAX_RETRY_DELAY: Duration = Duration::from_secs(60);
+/// For this long after a task of a job failed on a machine, no task of the job is placed there. Each further
+/// failure there doubles the time, up to [`MAX_EXCLUSION`].
+const FIRST_EXCLUSION: Duration = Duration::from_secs(30);
+/// A job whose only suitable machine has recovered waits at most this long.
+const MAX_EXCLUSION: Duration = Duration::from_secs(60);
 /// The maximum number of doublings of the retry delay, which keeps the computed factor within the range of
 /// its type.
 const MAX_RETRY_DOUBLINGS: u32 = 6;
@@ -42,6 +51,8 @@
     pub machine: &'a MachineId,
     /// Whether failures of other jobs show that the machine is faulty.
     pub machine_is_faulty: bool,
+    /// Whether a task has completed on the machine since a task of this job last failed there.
+    pub machine_has_recovered: bool,
     /// The time from the start of the task to its failure. If no heartbeat showed the task as running, the
     /// time counts from the last heartbeat that showed it as fetching its image, or else from its placement.
     pub after: Duration,
@@ -59,12 +70,43 @@
     Machine,
 }
 
+/// The failures of a job's tasks on one machine.
+#[derive(Clone, Copy, Debug)]
+struct MachineFailures {
+    /// The number of failures that are evidence against the job: the first one, and each one before which
+    /// another task had completed on the machine.
+    evidence: usize,
+    count: u32,
+    /// No task of the job is placed on the machine before this time.
+    excluded_until: Instant,
+}
+
+impl MachineFailures {
+    fn new(now: Instant) -> MachineFailures {
+        MachineFailures {
+            evidence: 1,
+            count: 1,
+            excluded_until: now + FIRST_EXCLUSION,
+        }
+    }
+
+    fn add(&mut self, now: Instant, machine_has_recovered: bool) {
+        // Tasks that were active at the first failure may fail too, which says nothing new about the machine.
+        if now >= self.excluded_until {
+            let doublings = self.count.min(MAX_RETRY_DOUBLINGS);
+            self.excluded_until = now + (FIRST_EXCLUSION * 2u32.pow(doublings)).min(MAX_EXCLUSION);
+            self.count += 1;
+            self.evidence += usize::from(machine_has_recovered);
+        }
+    }
+}
+
 /// The failures of a job's tasks, and the state of its crash-loop detection.
 #[derive(Clone, Debug, Default)]
 pub struct CrashLoop {
     /// The machines on which tasks of the job failed since the job last showed that it can run. Machines that
     /// other jobs had shown to be faulty are left out.
-    failed_machines: HashSet<MachineId>,
+    failed_machines: HashMap<MachineId, MachineFailures>,
     failure_count: u32,
     /// The shortest time that a task took to fail. Image fetches and heartbeat intervals only lengthen the
     /// measured times, so the shortest measured time is the most accurate.
@@ -100,11 +142,20 @@
         self.failure_count
     }
 
-    /// Whether a task of the job has failed on this machine since a task of the job last completed or, under
-    /// a suspicion, ran for far longer than the shortest time in which a task failed. Failures under a
-    /// suspicion and failures on machines that other jobs had shown to be faulty are left out.
-    pub fn has_failed_on(&self, machine: &MachineId) -> bool {
-        self.failed_machines.contains(machine)
+    /// Whether no task of the job is to be placed on this machine, because one failed there recently. A
+    /// completed task of the job ends all exclusions, and so does, under a suspicion, one that ran for far
+    /// longer than the shortest time in which a task failed. Failures under a suspicion and failures on
+    /// machines that other jobs had shown to be faulty are left out.
+    pub fn is_excluded(&self, now: Instant, machine: &MachineId) -> bool {
+        self.excluded_for(now, machine) > Duration::ZERO
+    }
+
+    /// How long from `now` no task of the job is to be placed on this machine; zero if it is not excluded.
+    pub fn excluded_for(&self, now: Instant, machine: &MachineId) -> Duration {
+        let failures = self.failed_machines.get(machine);
+        failures.map_or(Duration::ZERO, |failures| {
+            failures.excluded_until.saturating_duration_since(now)
+        })
     }
 
     /// Records the failure of a task and decides whether it counts against the job or the machine.
@@ -127,9 +178,9 @@
         }
         // A failure on a machine that other jobs have shown to be faulty is no evidence against this job.
         if !failure.machine_is_faulty {
-            self.failed_machines.insert(failure.machine.clone());
+            self.record_machine_failure(now, &failure);
         }
-        if self.failed_machines.len() < self.min_failed_machines() {
+        if self.evidence() < self.min_failed_machines() {
             return FailureAttribution::Machine;
         }
         self.suspected = true;
@@ -179,6 +230,18 @@
         self.unknown_refusals = 0;
     }
 
+    fn record_machine_failure(&mut self, now: Instant, failure: &TaskFailure) {
+        self.failed_machines
+            .entry(failure.machine.clone())
+            .and_modify(|failures| failures.add(now, failure.machine_has_recovered))
+            .or_insert_with(|| MachineFailures::new(now));
+    }
+
+    /// The number of failures that are evidence against the job.
+    fn evidence(&self) -> usize {
+        self.failed_machines.values().map(|f| f.evidence).sum()
+    }
+
     fn min_failed_machines(&self) -> usize {
         if self.proven {
             MIN_FAILED_MACHINES_IF_PROVEN
--- a/src/core/state/failure_attribution.rs
+++ b/src/core/state/failure_attribution.rs
@@ -34,12 +34,16 @@
         let failure = TaskFailure {
             machine,
             machine_is_faulty: self.is_faulty_by_other_jobs(job_id, machine),
+            machine_has_recovered: self.has_recovered_from(job_id, machine),
             after,
         };
         let Some(job) = self.jobs.get_mut(job_id).filter(|j| !j.is_cancelled()) else {
             return;
         };
-        match job.crash_loop.record_failure(now, failure) {
+        let attribution = job.crash_loop.record_failure(now, failure);
+        let excluded_s = job.crash_loop.excluded_for(now, machine).as_secs_f64();
+        log::debug!("machine excluded job={job_id} machine={machine} for_s={excluded_s:.1}");
+        match attribution {
             FailureAttribution::SuspectedJob => {}
             FailureAttribution::NewlySuspectedJob => self.on_job_suspected(now, job_id),
             FailureAttribution::Machine => self.count_against_machine(now, job_id, machine),
@@ -130,6 +134,12 @@
         machine.is_quarantined() || machine.failed_jobs.iter().any(counts)
     }
 
+    /// Whether no failure of this job is recorded on the machine. A completed task clears a machine's failures.
+    fn has_recovered_from(&self, job_id: &JobId, machine: &MachineId) -> bool {
+        let machine = self.fleet.machines.get(machine);
+        machine.is_some_and(|machine| !machine.failed_jobs.contains(job_id))
+    }
+
     fn is_suspected(&self, job_id: &JobId) -> bool {
         let job = self.jobs.get(job_id);
         job.is_some_and(|j| j.crash_loop.is_suspected())
--- a/tests/scheduler/crash_loops.rs
+++ b/tests/scheduler/crash_loops.rs
@@ -179,3 +179,115 @@
         assert_eq!(backs_off, n == 2);
     }
 }
+
+/// Guards against a job that never returns to the only machines that fit, because one of its tasks failed
+/// there while the machines had trouble, although the machines have recovered.
+#[test]
+fn a_job_returns_to_the_only_machines_that_fit_after_their_trouble() {
+    struct Case {
+        name: &'static str,
+        kind: JobKind,
+        tasks: u32,
+        cpus: f64,
+        machines: usize,
+        faulty_machines: usize,
+    }
+    let cases = [
+        Case {
+            name: "one task, one machine",
+            kind: JobKind::Batch,
+            tasks: 1,
+            cpus: 4.0,
+            machines: 1,
+            faulty_machines: 1,
+        },
+        Case {
+            name: "one task, two machines, both faulty",
+            kind: JobKind::Batch,
+            tasks: 1,
+            cpus: 4.0,
+            machines: 2,
+            faulty_machines: 2,
+        },
+        Case {
+            name: "array, two machines",
+            kind: JobKind::Batch,
+            tasks: 4,
+            cpus: 4.0,
+            machines: 2,
+            faulty_machines: 1,
+        },
+        Case {
+            name: "gang that needs both machines",
+            kind: JobKind::Gang,
+            tasks: 2,
+            cpus: 6.0,
+            machines: 2,
+            faulty_machines: 1,
+        },
+        Case {
+            name: "gang that needs all four machines",
+            kind: JobKind::Gang,
+            tasks: 4,
+            cpus: 6.0,
+            machines: 4,
+            faulty_machines: 4,
+        },
+    ];
+    // The users' rule: once all troubles are over, no job waits this long while a machine that fits has room.
+    let max_wait_s = 90;
+    for case in cases {
+        for trouble_s in [5, 40, 170] {
+            let name = case.name;
+            let mut fleet = SimulatedFleet::new(config_without_limits(), case.machines, 8.0);
+            let faulty = 0..case.faulty_machines;
+            fleet.faulty_machines = faulty.map(|n| MachineId(format!("i-{n:02}"))).collect();
+            let mut job = spec("wk-000001", case.tasks, case.cpus);
+            job.kind = case.kind;
+            fleet.fixture.job(job);
+            for _ in 0..trouble_s {
+                fleet.second(|_| secs(5));
+            }
+            assert!(
+                fleet.launched.get(&"wk-000001".into()) >= Some(&1),
+                "{name}"
+            );
+            fleet.faulty_machines.clear();
+            for _ in 0..max_wait_s + 10 {
+                fleet.second(|_| secs(5));
+            }
+            assert!(
+                !fleet.fixture.cluster.jobs.contains(&"wk-000001".into()),
+                "{name}, {trouble_s} s of trouble: the job waits"
+            );
+        }
+    }
+}
+
+/// Guards against a broken job that fails again and again on the only machine, at short intervals and without
+/// being suspected, after the job may return there.
+#[test]
+fn a_broken_job_on_the_only_machine_is_retried_at_growing_intervals() {
+    let mut fleet = SimulatedFleet::new(config_without_limits(), 1, 8.0);
+    fleet.failing_jobs.push("wk-000001".into());
+    fleet.fixture.job(spec("wk-000001", 1, 4.0));
+    for n in 0..60 {
+        // Other jobs complete on the machine, which shows that the machine works.
+        fleet.fixture.job(spec(&format!("wk-0001{n:02}"), 1, 2.0));
+        for _ in 0..10 {
+            fleet.second(|_| secs(3));
+        }
+    }
+    let launched = fleet.launched[&JobId::from("wk-000001")];
+    assert!((6..=16).contains(&launched), "launched {launched} times");
+    let broken = &fleet.fixture.cluster.jobs[&JobId::from("wk-000001")];
+    assert!(broken.crash_loop.is_suspected());
+    assert_eq!(fleet.tasks_by_machine.len(), 1, "the machine was returned");
+    for n in 0..59 {
+        assert_eq!(
+            fleet.done.get(&JobId(format!("wk-0001{n:02}"))),
+            Some(&1),
+            "job {n}"
+        );
+    }
+}
