A machine is rented to retry a suspected job that the fleet cannot hold

What callers saw: a job, or a gang, that is suspected of a crash loop stays queued for good once the machines that could run it were returned as idle.

Cause: waiting tasks of suspected jobs are left out of what is rented for, and nothing asked whether the retry that clears the suspicion still had a machine.

Change: they are left out only while the machines that are not leaving the fleet have the capacity for one task, or for all members of a gang.

Test, failed before: a_machine_is_rented_to_retry_a_suspected_job_that_the_ fleet_cannot_hold ("Batch: nothing is rented").

--- /dev/null
+++ b/src/core/placement/fleet_fit.rs
@@ -0,0 +1,54 @@
+//! Whether the machines of the fleet could hold a job at all, however busy they are now.
+
+use crate::core::model::{JobKind, Zone};
+use crate::core::placement::zone_constraints::{permits, ZoneUse};
+use crate::core::state::{ClusterState, Job, Machine};
+use std::collections::BTreeMap;
+
+impl ClusterState {
+    /// Whether the machines that are not leaving the fleet have the capacity for one task of a job, or for all
+    /// members of a gang, once every other task on them has ended.
+    pub(super) fn fleet_can_hold(&self, job: &Job) -> bool {
+        let spec = &job.spec;
+        let tasks_by_zone = self.capacity_by_zone(job);
+        let total = || tasks_by_zone.values().sum::<usize>();
+        if spec.kind == JobKind::Batch {
+            return total() > 0;
+        }
+        let members = spec.task_count as usize;
+        if spec.same_place {
+            return tasks_by_zone.values().any(|tasks| *tasks >= members);
+        }
+        if spec.spread {
+            let max_per_zone = members.div_ceil(2);
+            let capped = tasks_by_zone.values().map(|tasks| max_per_zone.min(*tasks));
+            return capped.sum::<usize>() >= members;
+        }
+        total() >= members
+    }
+
+    /// The number of tasks of a job that the machines of each zone can hold, if they run nothing else.
+    fn capacity_by_zone(&self, job: &Job) -> BTreeMap<&Zone, usize> {
+        let zones = ZoneUse::for_job(job, &self.zone_of());
+        let mut tasks_by_zone = BTreeMap::new();
+        for machine in self.fleet.machines.values().filter(|m| !is_leaving(m)) {
+            let Some(machine_type) = self.fleet.machine_type(&machine.machine_type) else {
+                continue;
+            };
+            let Machine { zone, spot, .. } = machine;
+            if permits(&job.spec, &zones, &machine_type.name, zone, *spot) {
+                let tasks = job.spec.resources.count_fitting_in(&machine_type.capacity);
+                *tasks_by_zone.entry(zone).or_default() += tasks;
+            }
+        }
+        tasks_by_zone
+    }
+}
+
+/// Whether a machine will get no further tasks before it leaves the fleet.
+fn is_leaving(machine: &Machine) -> bool {
+    machine.returning
+        || machine.draining
+        || machine.is_quarantined()
+        || machine.eviction_at.is_some()
+}
--- a/src/core/placement/mod.rs
+++ b/src/core/placement/mod.rs
@@ -16,6 +16,7 @@
 mod array;
 mod deadlines;
 mod fair_share;
+mod fleet_fit;
 mod gang;
 pub mod history;
 mod plan;
--- a/src/core/placement/round.rs
+++ b/src/core/placement/round.rs
@@ -102,13 +102,15 @@
         } = round;
         // Jobs suspected of a crash loop would fail on other machines too, and ordinary jobs that wait
         // for the start limiter do not lack machines. Their tasks are removed from `waiting`, so that no
-        // machine is rented or kept and no task is preempted for them.
+        // machine is rented or kept and no task is preempted for them. A suspected job that the fleet cannot
+        // hold stays in `waiting`, because it could never be retried otherwise.
         let start_limit_reached = plan.start_limit_reached;
         plan.waiting.retain(|waiting| {
             self.jobs.get(&waiting.job_id).is_some_and(|job| {
                 let is_limited = start_limit_reached
                     && is_subject_to_start_limit(&job.spec, &jobs_within_guarantee);
-                !job.crash_loop.is_suspected() && !is_limited
+                let may_be_retried = !job.crash_loop.is_suspected() || !self.fleet_can_hold(job);
+                may_be_retried && !is_limited
             })
         });
         quota_limited_jobs.retain(|id| {
--- a/tests/scheduler/crash_loops.rs
+++ b/tests/scheduler/crash_loops.rs
@@ -291,3 +291,42 @@
         );
     }
 }
+
+/// Guards against a job that waits for ever because it is suspected of a crash loop, no machine that could run
+/// it is left, and none is rented for it.
+#[test]
+fn a_machine_is_rented_to_retry_a_suspected_job_that_the_fleet_cannot_hold() {
+    let job_id = JobId::from("wk-000001");
+    for (kind, tasks) in [(JobKind::Batch, 1), (JobKind::Gang, 3)] {
+        let mut fleet = SimulatedFleet::new(config_without_limits(), 3, 8.0);
+        fleet.failing_jobs.push(job_id.clone());
+        let mut job = spec("wk-000001", tasks, 6.0);
+        job.kind = kind;
+        // The leader orders spot machines to replace the fleet's expensive ones. They do not fit this job.
+        job.allows_spot = false;
+        fleet.fixture.job(job);
+        for _ in 0..60 {
+            fleet.second(|_| secs(5));
+        }
+        let crash_loop = &fleet.fixture.cluster.jobs[&job_id].crash_loop;
+        assert!(crash_loop.is_suspected(), "{kind:?}");
+        let ordered_as_replacements = fleet.rented;
+        fleet.fixture.cluster.config.tuning.max_machines = 10;
+        for _ in 0..90 {
+            fleet.second(|_| secs(5));
+        }
+        assert_eq!(
+            fleet.rented, ordered_as_replacements,
+            "{kind:?}: rented although the fleet can hold the job"
+        );
+        fleet.fixture.cluster.config.tuning.on_demand_idle_timeout = secs(1);
+        for _ in 0..150 {
+            fleet.second(|_| secs(5));
+        }
+        assert!(fleet.tasks_by_machine.len() < 3, "{kind:?}");
+        assert!(
+            fleet.rented > ordered_as_replacements,
+            "{kind:?}: nothing is rented"
+        );
+    }
+}
