A failed write of the machine types is repeated at growing intervals

Cause: followers learn the types from ctl/types alone, and the leader wrote it once after each read of the cloud, every 120 s. A write that failed was not repeated; a leader key that could not be read, one of another term, and a condition that failed ended it without a word.

Change: MachineTypesPublisher (runtime/machine_types.rs, out of cloud_workers) keeps what is not stored and writes it again after 0.25 s, doubling up to 8 s, for as long as the node leads. Failures are logged with reason and interval; a node that refuses jobs for it says so once.

--- a/src/api/context.rs
+++ b/src/api/context.rs
@@ -17,7 +17,7 @@
 use crate::node::view::NodeView;
 use crate::settings::Settings;
 use std::net::IpAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Once};
 use std::time::{Duration, Instant};
 
 /// The settings that the API uses.
@@ -99,9 +99,18 @@
     pub fairness: SubmissionFairness,
     /// The latest read of the index of live jobs, shared by concurrent cancellations.
     pub live_index: LiveIndex,
+    /// Completed once the log says that this node refuses new jobs for lack of the machine types.
+    pub missing_types_logged: Once,
 }
 
 impl ApiContext {
+    /// Writes to the log, at most once, that this node refuses new jobs until it knows the machine types.
+    pub(super) fn log_missing_machine_types(&self) {
+        self.missing_types_logged.call_once(|| {
+            log::warn!("new jobs are refused until the leader has stored the machine types");
+        });
+    }
+
     /// A live peer that can reach the key-value store, if there is one.
     pub(super) fn peer_with_store(&self) -> Option<&Arc<Peer>> {
         let members = self.view.peers_with_store(Instant::now());
--- a/src/api/submission.rs
+++ b/src/api/submission.rs
@@ -213,6 +213,7 @@
     let config = &context.config;
     let machine_types = context.view.read().machine_types.clone();
     if machine_types.is_empty() {
+        context.log_missing_machine_types();
         let problem = ApiResponse::problem(503, "machine types are not known yet");
         return Some(problem.with_retry_after(NO_MACHINE_TYPES_RETRY_AFTER_S));
     }
--- a/src/net/wire/cloud.rs
+++ b/src/net/wire/cloud.rs
@@ -52,7 +52,7 @@
 
 /// The response to `GET /machine_types`. It is also stored in the key-value store, so that the machine types
 /// are known during outages of the cloud.
-#[derive(Debug, Serialize, Deserialize)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 #[serde(rename_all = "PascalCase")]
 pub struct WireMachineTypes {
     /// The machine types that the cloud offers.
--- a/src/runtime/cloud_workers.rs
+++ b/src/runtime/cloud_workers.rs
@@ -1,18 +1,16 @@
 //! The threads that call the cloud: they rent and return machines, and read the machine types and the list of
-//! machines.
+//! machines. The machine types are published by [`machine_types`](crate::runtime::machine_types).
 //!
 //! These threads share one rate limit. Invariant: machines are returned only while this node certainly holds
 //! the leader lease, because without a valid lease another leader may already be using the machines.
 
-use crate::common::rate_limit::{RequestClass, TokenBucket};
+use crate::common::rate_limit::TokenBucket;
 use crate::core::capacity::RentalOutcome;
-use crate::core::model::{CloudMachine, MachineId, MachineType, Term};
-use crate::core::persistence::keys;
-use crate::core::persistence::write_batch::KeyCondition;
-use crate::net::store::{Change, StoredValue};
-use crate::net::wire::{RentRequest, StoredLeader, WireMachineTypes};
+use crate::core::model::{CloudMachine, MachineId, Term};
+use crate::net::wire::RentRequest;
 use crate::runtime::context::NodeContext;
-use crate::runtime::events::{CloudOrder, Event, ReturnOutcome, TermEvent};
+use crate::runtime::events::{CloudOrder, ReturnOutcome, TermEvent};
+use crate::runtime::machine_types::MachineTypesPublisher;
 use crossbeam::channel::Receiver;
 use std::time::{Duration, Instant};
 
@@ -26,8 +24,6 @@
 const TYPES_INTERVAL: Duration = Duration::from_secs(120);
 /// Delay before the machine types are read again if the cloud did not answer the previous read.
 const TYPES_RETRY_INTERVAL: Duration = Duration::from_secs(5);
-/// Timeout of one call to the key-value store.
-const STORE_CALL_TIMEOUT: Duration = Duration::from_millis(1500);
 
 /// Executes rentals and returns in order, within the cloud's rate limit.
 pub(super) fn execute_orders(
@@ -94,10 +90,13 @@
 pub(super) fn read_cloud(context: &NodeContext, rate_limiter: &TokenBucket, wakeup: &Receiver<()>) {
     let mut next_types_read = Instant::now();
     let mut next_list_read = Instant::now();
+    let mut publisher = MachineTypesPublisher::default();
     while !context.stop.is_stopped() {
         // The wakeup arrives when the cluster state of a new term has been loaded.
-        let _ = wakeup.recv_timeout(READ_CHECK_INTERVAL);
+        let until_retry = publisher.time_to_retry(Instant::now());
+        let _ = wakeup.recv_timeout(READ_CHECK_INTERVAL.min(until_retry));
         let Some(term) = context.view.read().leading_term() else {
+            publisher = MachineTypesPublisher::default();
             next_types_read = Instant::now();
             next_list_read = Instant::now();
             continue;
@@ -108,7 +107,7 @@
             read_machines(context, term, rate_limiter);
         }
         if now >= next_types_read && rate_limiter.try_take(1.0) {
-            let answered = read_machine_types(context, term);
+            let answered = publisher.read(context);
             next_types_read = now
                 + if answered {
                     TYPES_INTERVAL
@@ -116,6 +115,7 @@
                     TYPES_RETRY_INTERVAL
                 };
         }
+        publisher.store_if_due(context, term);
     }
 }
 
@@ -137,49 +137,3 @@
         let _ = context.events.send(event.in_term(term));
     }
 }
-
-/// Reads the machine types and publishes them. Returns whether the cloud answered.
-fn read_machine_types(context: &NodeContext, term: Term) -> bool {
-    let Some(listed) = context.cloud.machine_types() else {
-        return false;
-    };
-    let machine_types = parse_machine_types(&listed);
-    if !machine_types.is_empty() {
-        store_machine_types(context, term, listed);
-        context.view.set_machine_types(machine_types.clone());
-        let _ = context.events.send(Event::MachineTypes(machine_types));
-    }
-    true
-}
-
-/// Converts the machine types from the wire format. Types that this version cannot represent are left out.
-pub(super) fn parse_machine_types(listed: &WireMachineTypes) -> Vec<MachineType> {
-    let types = listed.machine_types.iter();
-    types.filter_map(|listed| listed.try_into().ok()).collect()
-}
-
-/// Stores the machine types in the key-value store, where they remain available during outages of the cloud.
-fn store_machine_types(context: &NodeContext, term: Term, listed: WireMachineTypes) {
-    let class = RequestClass::Leader;
-    let read = context
-        .store
-        .get::<StoredLeader>(keys::LEADER_KEY, class, STORE_CALL_TIMEOUT);
-    let Ok(Some(leader)) = read else {
-        return;
-    };
-    if leader.value.term != term.0 {
-        return;
-    }
-    let conditions = [KeyCondition::at_revision(keys::LEADER_KEY, leader.revision)];
-    let change = Change::Put {
-        key: keys::MACHINE_TYPES_KEY,
-        value: StoredValue::Types(listed),
-        lease: None,
-    };
-    let written = context
-        .store
-        .transaction(&conditions, vec![change], class, STORE_CALL_TIMEOUT);
-    if let Err(e) = written {
-        log::info!("machine types not stored error=\"{e}\"");
-    }
-}
--- a/src/runtime/mod.rs
+++ b/src/runtime/mod.rs
@@ -17,6 +17,7 @@
 pub mod events;
 mod heartbeats;
 mod loading;
+mod machine_types;
 mod peer_server;
 mod peer_status_exchange;
 mod queue_feed;
--- a/src/runtime/service.rs
+++ b/src/runtime/service.rs
@@ -34,7 +34,7 @@
 use crate::settings::Settings;
 use crossbeam::channel::{bounded, Receiver};
 use std::net::TcpListener;
-use std::sync::Arc;
+use std::sync::{Arc, Once};
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
@@ -225,6 +225,7 @@
         pause_detector: context.pause_detector.clone(),
         cancellation_notifier: context.clone(),
         fairness: SubmissionFairness::default(),
+        missing_types_logged: Once::new(),
         live_index: LiveIndex::default(),
     }
 }
--- a/tests/end_to_end/store_outages.rs
+++ b/tests/end_to_end/store_outages.rs
@@ -7,6 +7,34 @@
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
+/// Guards against a follower that refuses new jobs for minutes, because the leader's only write of the machine
+/// types failed at the beginning of its term.
+#[test]
+fn followers_accept_jobs_soon_after_the_write_of_the_machine_types_failed() {
+    let not_answered = Fault::Late(Duration::from_secs(100));
+    let cases: [(&str, &[Fault]); 3] = [
+        ("refused once", &[Fault::Refused]),
+        ("refused repeatedly", &[Fault::Refused; 4]),
+        ("not answered", &[not_answered]),
+    ];
+    for (name, faults) in cases {
+        let cluster = TestCluster::new(2);
+        for fault in faults {
+            cluster.store.inject_fault("ctl/types", *fault);
+        }
+        let nodes = [cluster.start(0), cluster.start(1)];
+        let leads = |n: &Service| leading_term(n).is_some();
+        let leader = wait_until("a node leads", || nodes.iter().position(leads));
+        let follower = cluster.members[1 - leader].1;
+        let body = submission("wk-000001", 1);
+        wait_until(&format!("{name}: the follower accepts"), || {
+            (call("POST", follower, "/api/jobs", Some(&body)).0 == 201).then_some(())
+        });
+        assert_eq!(cluster.store.pending_faults(), 0, "{name}: not all met");
+        nodes.into_iter().for_each(Service::stop);
+    }
+}
+
 /// Guards against accepted jobs that are lost or never run: the store becomes unavailable right after their
 /// acceptance, and the leader loses its peer as well.
 #[test]
--- a/tests/fakes/store.rs
+++ b/tests/fakes/store.rs
@@ -234,6 +234,8 @@
     /// The transaction is applied only after this delay, behind newer transactions, and its response is
     /// lost.
     Late(Duration),
+    /// The transaction is not applied, and answered with status 503.
+    Refused,
     /// The transaction is applied and answered, and then the store becomes unavailable to all nodes.
     UnavailableAfterwards,
 }
@@ -302,6 +304,7 @@
                 serve_request(&self.state, method, url, body);
                 std::thread::sleep(NO_RESPONSE_DELAY);
             }
+            Some(Fault::Refused) => return (503, Value::Nil(())),
             Some(Fault::UnavailableAfterwards) => {
                 let answered = serve_request(&self.state, method, url, body);
                 self.unavailable.store(true, Ordering::SeqCst);
