A record above the store's limit holds up no other work

Change: an intent is counted as what its encoding takes, and one that does not fit into its chunk's value is recorded in an overflow chunk. A chunk above a limit that was lowered later is written alone from the start. Of two records that name a task a new leader takes the newest attempt.

Methods of a job that concern its chunks moved from job.rs to job_chunks.rs.

--- a/src/core/persistence/batch_builder.rs
+++ b/src/core/persistence/batch_builder.rs
@@ -8,14 +8,13 @@
 use crate::core::persistence::write_batch::{KeyCondition, WriteBatch, WriteOp};
 use crate::core::placement::history::HistorySummary;
 use crate::core::state::Job;
+use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
 
 /// The maximum total size of the chunks in a transaction, below the protocol's limit of 64 KiB.
 const MAX_BATCH_BYTES: usize = 40 * 1024;
-/// An upper bound on the size of a chunk in a transaction, not counting the chunk's attempts.
+/// An upper bound on the size of a chunk in a transaction, not counting the chunk's value.
 const CHUNK_FIXED_BYTES: usize = 80;
-/// An upper bound on the size of one attempt of a chunk in a transaction.
-const CHUNK_BYTES_PER_ATTEMPT: usize = 48;
 
 /// Every transaction must have room for at least this many changes. The removal of a cancelled job consists
 /// of up to this many changes: it deletes the job's key in the index and its cancellation marker.
@@ -36,6 +35,14 @@
     pub(super) version: u64,
 }
 
+/// A record that a transaction puts.
+#[derive(Clone, Debug)]
+pub(super) struct PutRecord {
+    pub(super) key: String,
+    /// The size of the value in bytes; `None` for records other than chunks.
+    pub(super) chunk_bytes: Option<usize>,
+}
+
 /// An attempt whose intent a transaction makes durable.
 #[derive(Debug)]
 pub(super) struct WrittenIntent {
@@ -60,6 +67,9 @@
     pub(super) obsolete_keys: Vec<String>,
     /// The number of changes in the transaction.
     pub(super) op_count: usize,
+    /// The key and the size in bytes of the record that the transaction puts last. The size of records other
+    /// than chunks is left out, since they are small.
+    pub(super) last_put: Option<PutRecord>,
 }
 
 /// Whether a transaction had room for the changes of a job, so that the next job may be added.
@@ -83,17 +93,27 @@
     in_flight: InFlightBatch,
     bytes: usize,
     max_ops: usize,
+    set_aside: BTreeSet<String>,
+    /// The keys of chunks that were left out because their value exceeds the store's limit.
+    oversized: Vec<String>,
 }
 
 impl BatchBuilder {
     /// Creates a transaction of at most `max_ops` changes, conditional on the revision of the leader key.
-    pub(super) fn new(leader_revision: u64, max_ops: usize) -> BatchBuilder {
+    /// `set_aside`: the keys of chunks that are left out.
+    pub(super) fn new(
+        leader_revision: u64,
+        max_ops: usize,
+        set_aside: BTreeSet<String>,
+    ) -> BatchBuilder {
         BatchBuilder {
             conditions: vec![KeyCondition::at_revision(LEADER_KEY, leader_revision)],
             ops: Vec::new(),
             in_flight: InFlightBatch::default(),
             bytes: 0,
             max_ops,
+            set_aside,
+            oversized: Vec::new(),
         }
     }
 
@@ -115,6 +135,11 @@
         self.ops.len()
     }
 
+    /// Takes the keys of the chunks that were left out because their value exceeds the store's limit.
+    pub(super) fn take_oversized(&mut self) -> Vec<String> {
+        std::mem::take(&mut self.oversized)
+    }
+
     /// The maximum number of changes in the transaction.
     pub(super) fn max_ops(&self) -> usize {
         self.max_ops
@@ -171,7 +196,8 @@
         if removal == RecordRemoval::Deferred {
             return BatchCapacity::Available;
         }
-        if !self.has_room(MIN_BATCH_OPS) {
+        // A transaction of one change, as the search for a refused record builds, still has to remove jobs.
+        if !self.has_room(MIN_BATCH_OPS) && self.op_count() > 0 {
             return BatchCapacity::Exhausted;
         }
         let job_id = &job.spec.job_id;
@@ -183,13 +209,23 @@
         BatchCapacity::Available
     }
 
-    /// Adds the chunks of a job that are due for a write, with their intents.
+    /// Adds the chunks of a job that are due for a write, with their intents. Chunks that are set aside, or
+    /// whose value exceeds the store's limit, are left out; the latter are set aside.
     fn add_chunks(&mut self, job: &Job, now: Instant) -> BatchCapacity {
         let op_count = self.op_count();
         let mut capacity = BatchCapacity::Available;
         for index in job.dirty_chunks(now) {
+            let key = chunk_key(&job.spec.job_id, index);
+            if self.set_aside.contains(&key) {
+                continue;
+            }
             let value = job.chunk_value(index);
-            let size = CHUNK_FIXED_BYTES + CHUNK_BYTES_PER_ATTEMPT * value.active.len();
+            let value_bytes = value.max_size_bytes();
+            if value_bytes > job.max_value_bytes {
+                self.oversized.push(key);
+                continue;
+            }
+            let size = CHUNK_FIXED_BYTES + value_bytes;
             if !self.has_room(1) || self.bytes + size > MAX_BATCH_BYTES {
                 capacity = BatchCapacity::Exhausted;
                 break;
@@ -197,12 +233,25 @@
             self.bytes += size;
             self.put_chunk(job, index, value);
         }
+        self.expect_outcome_for_chunks(job, op_count);
+        capacity
+    }
+
+    /// Adds one chunk of a job, whatever its size.
+    pub(super) fn add_chunk_alone(&mut self, job: &Job, index: u32) {
+        let op_count = self.op_count();
+        self.put_chunk(job, index, job.chunk_value(index));
+        self.expect_outcome_for_chunks(job, op_count);
+    }
+
+    /// Adds the condition on the outcome of a job whose chunks were added since the transaction had `op_count`
+    /// changes.
+    fn expect_outcome_for_chunks(&mut self, job: &Job, op_count: usize) {
         // The chunks of a cancelled or finished job contain no new intents, so their write needs no condition
         // on the job's outcome.
         if self.op_count() > op_count && !job.is_cancelled() && !job.done_durable {
             self.expect_outcome(job);
         }
-        capacity
     }
 
     fn put_chunk(&mut self, job: &Job, index: u32, value: ChunkValue) {
@@ -223,12 +272,20 @@
                 attempt,
             });
         self.in_flight.intents.extend(intents);
+        self.in_flight.last_put = Some(PutRecord {
+            key: key.clone(),
+            chunk_bytes: Some(value.max_size_bytes()),
+        });
         self.ops.push(WriteOp::Put(key, RecordValue::Chunk(value)));
     }
 
     fn put_outcome(&mut self, job: &Job, outcome: JobOutcome) {
         self.expect_outcome(job);
         let key = outcome_key(&job.spec.job_id);
+        self.in_flight.last_put = Some(PutRecord {
+            key: key.clone(),
+            chunk_bytes: None,
+        });
         self.ops
             .push(WriteOp::Put(key, RecordValue::JobOutcome(outcome)));
     }
@@ -249,6 +306,10 @@
     /// Adds a write of the summary of measured run times.
     pub(super) fn put_history(&mut self, summary: HistorySummary) {
         let value = RecordValue::History(summary);
+        self.in_flight.last_put = Some(PutRecord {
+            key: HISTORY_KEY.to_owned(),
+            chunk_bytes: None,
+        });
         self.ops.push(WriteOp::Put(HISTORY_KEY.to_owned(), value));
     }
 }
--- a/src/core/persistence/batch_planning.rs
+++ b/src/core/persistence/batch_planning.rs
@@ -2,8 +2,9 @@
 
 use crate::core::model::{JobId, Priority};
 use crate::core::persistence::batch_builder::{BatchBuilder, BatchCapacity, RecordRemoval};
+use crate::core::persistence::keys::{live_job_key, outcome_key, parse_chunk_key, HISTORY_KEY};
 use crate::core::persistence::write_batch::WriteBatch;
-use crate::core::state::{ClusterState, Job};
+use crate::core::state::{ClusterState, Job, TaskChunk};
 use std::cmp::Reverse;
 use std::time::Instant;
 
@@ -79,13 +80,40 @@
     /// transaction may start now.
     pub fn next_batch(&mut self, now: Instant) -> Option<WriteBatch> {
         let max_ops = self.writes.max_ops(now, self.config.txn_ops)?;
-        let mut batch = BatchBuilder::new(self.leader_revision, max_ops);
-        self.add_dirty_jobs(&mut batch, now);
-        self.writes.add_cleanups(&mut batch, now);
-        self.add_history(&mut batch, now);
+        let set_aside = self.writes.refused.keys();
+        let mut batch = BatchBuilder::new(self.leader_revision, max_ops, set_aside);
+        if !self.add_set_aside_chunk(&mut batch, now) {
+            self.add_dirty_jobs(&mut batch, now);
+            self.writes.add_cleanups(&mut batch, now);
+            self.add_history(&mut batch, now);
+        }
+        for key in batch.take_oversized() {
+            log::info!("record exceeds the store's limit, written alone key={key}");
+            self.writes.refused.set_aside(now, &key);
+        }
         self.writes.start(batch)
     }
 
+    /// Adds one chunk that is set aside and due, and nothing else. Returns whether there was one.
+    fn add_set_aside_chunk(&mut self, batch: &mut BatchBuilder, now: Instant) -> bool {
+        for key in self.writes.refused.due(now) {
+            let Some((job_id, index)) = parse_chunk_key(&key) else {
+                continue;
+            };
+            let job = self.jobs.get(&job_id);
+            let has_changes = |job: &&Job| job.chunks.get(&index).is_some_and(TaskChunk::is_dirty);
+            let Some(job) = job.filter(has_changes) else {
+                self.writes.refused.remove(&key);
+                continue;
+            };
+            if job.dirty_chunks(now).contains(&index) {
+                batch.add_chunk_alone(job, index);
+                return true;
+            }
+        }
+        false
+    }
+
     fn add_dirty_jobs(&mut self, batch: &mut BatchBuilder, now: Instant) {
         let cascading = self.has_unwritten_cascade();
         for job_id in self.dirty_jobs_in_write_order() {
@@ -93,6 +121,9 @@
                 self.writes.dirty_jobs.remove(&job_id);
                 continue;
             };
+            if self.is_outcome_backing_off(now, &job_id) {
+                continue;
+            }
             let op_count = batch.op_count();
             // A dependent whose own outcome is not written yet may still be reported as live. Until that
             // outcome is written, the records of the cancelled dependency must remain.
@@ -113,6 +144,14 @@
         }
     }
 
+    /// Whether the store refused the job's outcome or the removal of its records, and the next write is not due
+    /// yet.
+    fn is_outcome_backing_off(&self, now: Instant, job_id: &JobId) -> bool {
+        let refused = &self.writes.refused;
+        refused.is_backing_off(now, &outcome_key(job_id))
+            || refused.is_backing_off(now, &live_job_key(job_id))
+    }
+
     /// The jobs with unwritten changes, in the order of their writes. This function is called after every
     /// event, so it iterates only over the jobs with unwritten changes and not over all jobs.
     fn dirty_jobs_in_write_order(&self) -> Vec<JobId> {
@@ -149,7 +188,8 @@
     }
 
     fn add_history(&mut self, batch: &mut BatchBuilder, now: Instant) {
-        if !batch.has_room(1) || now < self.writes.next_summary {
+        let is_backing_off = self.writes.refused.is_backing_off(now, HISTORY_KEY);
+        if !batch.has_room(1) || now < self.writes.next_summary || is_backing_off {
             return;
         }
         self.writes.next_summary = now + self.config.tuning.summary_interval;
--- a/src/core/persistence/mod.rs
+++ b/src/core/persistence/mod.rs
@@ -9,5 +9,6 @@
 pub mod keys;
 pub mod pending_writes;
 pub mod records;
+mod refusals;
 pub mod write_batch;
 mod write_results;
--- a/src/core/persistence/pending_writes.rs
+++ b/src/core/persistence/pending_writes.rs
@@ -5,6 +5,7 @@
 
 use crate::core::model::JobId;
 use crate::core::persistence::batch_builder::{BatchBuilder, InFlightBatch, MIN_BATCH_OPS};
+use crate::core::persistence::refusals::RefusedRecords;
 use crate::core::persistence::write_batch::WriteBatch;
 use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
@@ -26,6 +27,8 @@
 pub struct PendingWrites {
     /// The jobs with changes that are not durable.
     pub(super) dirty_jobs: BTreeSet<JobId>,
+    /// The records that the store refused.
+    pub(super) refused: RefusedRecords,
     /// Keys to be removed, because nothing refers to them any more.
     obsolete_keys: Vec<String>,
     /// The contents of the transaction in flight, if there is one.
@@ -46,6 +49,7 @@
     pub fn new(now: Instant, summary_interval: Duration) -> PendingWrites {
         PendingWrites {
             dirty_jobs: BTreeSet::new(),
+            refused: RefusedRecords::default(),
             obsolete_keys: Vec::new(),
             in_flight: None,
             retry_at: None,
--- a/src/core/persistence/write_results.rs
+++ b/src/core/persistence/write_results.rs
@@ -2,10 +2,10 @@
 
 use crate::core::model::{JobId, JobKind};
 use crate::core::persistence::batch_builder::{InFlightBatch, MIN_BATCH_OPS};
-use crate::core::persistence::keys::{parse_chunk_key, parse_outcome_key, LEADER_KEY};
-use crate::core::persistence::records::{
-    attempts_per_chunk, JobOutcome, FULL_CHUNK_VALUE_BYTES, MIN_VALUE_BYTES,
+use crate::core::persistence::keys::{
+    chunk_key, live_job_key, parse_chunk_key, parse_outcome_key, LEADER_KEY,
 };
+use crate::core::persistence::records::{attempts_per_chunk, JobOutcome, MIN_VALUE_BYTES};
 use crate::core::persistence::write_batch::{ConflictingKey, LeaderKeyStatus, WriteOutcome};
 use crate::core::state::attempt::AttemptEnd;
 use crate::core::state::{CancelSource, ClusterState};
@@ -29,9 +29,7 @@
                 LeaderKeyStatus::Held
             }
             WriteOutcome::Refused => {
-                self.writes.pause_before_retry(now);
-                self.lower_store_limits(now, in_flight.op_count);
-                self.writes.restore_obsolete_keys(in_flight.obsolete_keys);
+                self.on_refused(now, in_flight);
                 LeaderKeyStatus::Held
             }
             WriteOutcome::Failed { conflicts } => {
@@ -43,6 +41,8 @@
 
     fn on_applied(&mut self, now: Instant, in_flight: InFlightBatch, revision: u64) {
         for chunk in in_flight.chunks {
+            let key = chunk_key(&chunk.job_id, chunk.index);
+            self.writes.refused.remove(&key);
             if let Some(job) = self.jobs.get_mut(&chunk.job_id) {
                 job.written(chunk.index, chunk.version, revision);
             }
@@ -108,24 +108,71 @@
         }
     }
 
-    /// Lowers the limits of a transaction for the rest of the term, after the store refused a transaction.
-    /// The limit on the number of changes is lowered to half the number in the refused transaction. If that
-    /// number was the minimum already, the limit on the size of a value is halved instead. The next leader
-    /// starts with the limits from the settings again.
-    fn lower_store_limits(&mut self, now: Instant, refused_ops: usize) {
-        if refused_ops > MIN_BATCH_OPS {
-            self.config.txn_ops = (refused_ops / 2).max(MIN_BATCH_OPS);
-        } else {
-            // A limit above the size of a full chunk has no effect, so half of that size is the next step.
-            let value_bytes = self.config.value_bytes.min(FULL_CHUNK_VALUE_BYTES) / 2;
-            self.config.value_bytes = value_bytes.max(MIN_VALUE_BYTES);
-            self.requeue_excess_attempts(now, attempts_per_chunk(self.config.value_bytes));
-        }
-        log::warn!(
-            "transaction refused by the store, limits lowered txn_ops={} value_bytes={}",
-            self.config.txn_ops,
-            self.config.value_bytes
-        );
+    /// Handles a transaction that the store refused, which it would refuse again. If it held several changes, the
+    /// next ones hold half as many, for the rest of the term or until one record is found to be the cause.
+    fn on_refused(&mut self, now: Instant, in_flight: InFlightBatch) {
+        let changes = in_flight.op_count;
+        if changes > 1 && in_flight.removed_jobs.len() * MIN_BATCH_OPS != changes {
+            self.writes.pause_before_retry(now);
+            self.writes.refused.search(self.config.txn_ops);
+            let half = (changes / 2).max(MIN_BATCH_OPS);
+            self.config.txn_ops = if changes > MIN_BATCH_OPS { half } else { 1 };
+            let max_changes = self.config.txn_ops;
+            log::warn!("transaction refused by the store changes={changes} next_max={max_changes}");
+            self.writes.restore_obsolete_keys(in_flight.obsolete_keys);
+            return;
+        }
+        if let Some(max_ops) = self.writes.refused.end_search() {
+            self.config.txn_ops = max_ops;
+        }
+        self.on_record_refused(now, in_flight);
+    }
+
+    /// Handles a record that the store refused although it was alone in its transaction.
+    fn on_record_refused(&mut self, now: Instant, in_flight: InFlightBatch) {
+        let removed = in_flight.removed_jobs.first().map(live_job_key);
+        let record = in_flight.last_put;
+        let chunk_bytes = record.as_ref().and_then(|record| record.chunk_bytes);
+        if let Some(key) = record.map(|record| record.key).or(removed) {
+            if chunk_bytes.is_some_and(|bytes| self.splits_chunk(now, &key, bytes)) {
+                self.writes.refused.set_aside(now, &key);
+                return;
+            }
+            let retry_s = self.writes.refused.back_off(now, &key).as_secs_f64();
+            log::error!(
+                "record refused by the store key={key} bytes={} retry_s={retry_s:.0}",
+                chunk_bytes.map_or("unknown".into(), |bytes| bytes.to_string())
+            );
+        }
+        for key in in_flight.obsolete_keys {
+            log::error!("removal refused by the store, record left key={key}");
+        }
+    }
+
+    /// Lowers the limit on the size of a value below the size of a refused chunk, unless the chunk was known to
+    /// exceed the limit already. Returns whether the chunk has become smaller. The next leader starts with the
+    /// limit from the settings again.
+    fn splits_chunk(&mut self, now: Instant, key: &str, refused_bytes: usize) -> bool {
+        if refused_bytes > self.config.value_bytes {
+            return false;
+        }
+        self.config.value_bytes = (refused_bytes / 2).max(MIN_VALUE_BYTES);
+        let value_bytes = self.config.value_bytes;
+        log::warn!("value refused by the store, limit lowered key={key} bytes={refused_bytes} value_bytes={value_bytes}");
+        self.requeue_excess_attempts(now, attempts_per_chunk(value_bytes));
+        self.move_excess_intents(value_bytes);
+        let chunk = parse_chunk_key(key);
+        let value =
+            chunk.and_then(|(job_id, index)| Some(self.jobs.get(&job_id)?.chunk_value(index)));
+        value.is_some_and(|value| value.max_size_bytes() < refused_bytes)
+    }
+
+    /// Moves planned intents beyond the new limit on the size of a value to other chunks.
+    fn move_excess_intents(&mut self, value_bytes: usize) {
+        for job in self.jobs.values_mut() {
+            job.max_value_bytes = value_bytes;
+            job.move_excess_intents();
+        }
     }
 
     /// Requeues the tasks of planned attempts that exceed `max_attempts`, the new maximum number of attempts
--- a/src/core/placement/tests.rs
+++ b/src/core/placement/tests.rs
@@ -272,6 +272,7 @@
         let attempt = ActiveAttempt {
             machine: "i-000".into(),
             id: AttemptId(1),
+            record_chunk: 0,
             durable: true,
             launch_token: FencingToken(1),
             incarnation: Some(1),
--- a/src/core/reconciliation/state_loading.rs
+++ b/src/core/reconciliation/state_loading.rs
@@ -4,10 +4,12 @@
 //! used until the attempt is proved gone. Cancellations are applied after the intents, so that no task of a
 //! cancelled job is missed.
 
-use crate::core::model::{JobId, JobKind, JobSpec, MachineId, MachineTypeName, TaskId, Zone};
+use crate::core::model::{
+    AttemptId, JobId, JobKind, JobSpec, MachineId, MachineTypeName, TaskId, Zone,
+};
 use crate::core::persistence::keys;
 use crate::core::persistence::records::{ChunkValue, Intent, JobOutcome};
-use crate::core::reconciliation::stored_snapshot::{StoredLiveJob, StoredSnapshot};
+use crate::core::reconciliation::stored_snapshot::{StoredJobChunk, StoredLiveJob, StoredSnapshot};
 use crate::core::state::MachineIdentity;
 use crate::core::state::{ActiveAttempt, CancelSource, ClusterState, Job, Machine};
 use std::collections::HashMap;
@@ -37,7 +39,7 @@
         for job_id in &snapshot.jobs_with_dependents_list {
             self.load_dependents_list(job_id);
         }
-        for chunk in snapshot.chunks {
+        for chunk in Self::without_superseded_intents(snapshot.chunks) {
             self.load_chunk(now, &chunk.job_id, chunk.index, chunk.value, chunk.revision);
         }
         for job_id in &ended.done_gangs {
@@ -100,6 +102,17 @@
         }
     }
 
+    /// Sorts the chunks by number, so that a job's overflow chunks follow the chunks that name the tasks that
+    /// are done, and removes all but the newest of several attempts at a task. Only one record names a task
+    /// as long as this version leads; an earlier version does not rewrite overflow chunks.
+    fn without_superseded_intents(mut chunks: Vec<StoredJobChunk>) -> Vec<StoredJobChunk> {
+        chunks.sort_by(|a, b| (&a.job_id, a.index).cmp(&(&b.job_id, b.index)));
+        for job_chunks in chunks.chunk_by_mut(|a, b| a.job_id == b.job_id) {
+            keep_newest_intents(job_chunks);
+        }
+        chunks
+    }
+
     /// Loads a chunk of a job's tasks. Each attempt in the chunk counts as placed on its machine until it is
     /// proved gone, even if no heartbeat of the machine lists it.
     pub fn load_chunk(
@@ -122,7 +135,7 @@
         chunk.revision = revision;
         chunk.done_bits = value.done;
         job.done_count += value.done.count_ones();
-        let loaded = load_attempts(job, now, value.active);
+        let loaded = load_attempts(job, now, index, value.active);
         if job.is_complete() {
             self.writes.mark_dirty(job_id);
         }
@@ -178,6 +191,28 @@
     }
 }
 
+/// Keeps, of several intents for the same task, the one with the highest attempt id, and of equal ones the
+/// first.
+fn keep_newest_intents(job_chunks: &mut [StoredJobChunk]) {
+    let mut newest: HashMap<u32, (AttemptId, u32)> = HashMap::new();
+    for chunk in job_chunks.iter() {
+        for intent in &chunk.value.active {
+            let record = newest
+                .entry(intent.task_index)
+                .or_insert((intent.attempt, chunk.index));
+            if record.0 < intent.attempt {
+                *record = (intent.attempt, chunk.index);
+            }
+        }
+    }
+    for chunk in job_chunks {
+        let index = chunk.index;
+        let is_newest =
+            |intent: &Intent| newest.get(&intent.task_index) == Some(&(intent.attempt, index));
+        chunk.value.active.retain(is_newest);
+    }
+}
+
 fn without_dependencies(spec: JobSpec) -> JobSpec {
     JobSpec {
         dependencies: Vec::new(),
@@ -187,7 +222,7 @@
 
 /// Adds the attempts of a chunk to the active attempts of a job, except those that are known to have ended.
 /// Returns the added ones.
-fn load_attempts(job: &mut Job, now: Instant, intents: Vec<Intent>) -> Vec<Intent> {
+fn load_attempts(job: &mut Job, now: Instant, chunk: u32, intents: Vec<Intent>) -> Vec<Intent> {
     let mut loaded = Vec::new();
     for intent in intents {
         // All members of a gang are marked as done when the first one completes, so a member that is marked
@@ -200,6 +235,7 @@
         let mut attempt = ActiveAttempt::planned(now, machine, intent.attempt, job.spec.expected);
         attempt.durable = true;
         job.active.insert(intent.task_index, attempt);
+        job.set_record(intent.task_index, chunk);
         loaded.push(intent);
     }
     loaded
--- a/src/core/state/attempt.rs
+++ b/src/core/state/attempt.rs
@@ -23,6 +23,9 @@
     pub machine: MachineId,
     /// The id of the attempt, which is unique across all terms. The members of a gang share one.
     pub id: AttemptId,
+    /// The number of the chunk whose record holds the intent: the chunk of the task, or one of the job's
+    /// overflow chunks.
+    pub record_chunk: u32,
     /// Whether the intent, the record that the attempt may be launched, is stored in the key-value store.
     /// Only then may the launch be sent.
     pub durable: bool,
@@ -63,6 +66,7 @@
         ActiveAttempt {
             machine,
             id,
+            record_chunk: 0,
             durable: false,
             launch_token: FencingToken(0),
             incarnation: None,
--- a/src/core/state/job.rs
+++ b/src/core/state/job.rs
@@ -3,8 +3,8 @@
 //! Invariants: a task has at most one active attempt. A task that is done is never placed again. While the
 //! job is not over, every task before `next_unplaced` is done, active or requeued.
 
-use crate::core::model::{AttemptId, ImageKey, JobKind, JobSpec, TaskId};
-use crate::core::persistence::records::{ChunkValue, Intent, TASKS_PER_CHUNK};
+use crate::core::model::{ImageKey, JobKind, JobSpec, TaskId};
+use crate::core::persistence::records::TASKS_PER_CHUNK;
 use crate::core::state::attempt::ActiveAttempt;
 use crate::core::state::attempt::AttemptEnd;
 use crate::core::state::cancellation::Cancellation;
@@ -34,7 +34,12 @@
     pub done_durable: bool,
     /// Whether at least one dependency is not known to be done, so that no task of the job may be placed.
     pub blocked: bool,
-    /// The number of attempts that fit into the stored value of one chunk.
+    /// The store's limit on the size of a value, in bytes. No intent is added to a chunk beyond it.
+    pub max_value_bytes: usize,
+    /// The overflow chunk of each task whose intent did not fit into the task's own chunk. It is kept for
+    /// the task's next attempts, so that no two records name different attempts at the task.
+    pub(in crate::core) overflow: BTreeMap<u32, u32>,
+    /// The number of attempts that are planned at most for one chunk of an array.
     pub max_attempts_per_chunk: u32,
     /// Whether a direct or transitive dependency was cancelled, so that this job has to be cancelled too. The
     /// flag stays set after the job's own outcome has become known.
@@ -94,6 +99,8 @@
             cancellation: Cancellation::default(),
             done_durable: false,
             blocked: false,
+            max_value_bytes: usize::MAX,
+            overflow: BTreeMap::new(),
             max_attempts_per_chunk: TASKS_PER_CHUNK,
             orphaned: false,
             orphaned_at: None,
@@ -160,22 +167,6 @@
         !self.is_cancelled() && !self.done_durable && self.is_complete()
     }
 
-    /// Raises the version of the chunk that contains the task, and returns the chunk for modification.
-    fn touch_chunk(&mut self, index: u32) -> &mut TaskChunk {
-        let chunk = self.chunks.entry(index / TASKS_PER_CHUNK).or_default();
-        chunk.version += 1;
-        chunk
-    }
-
-    /// Marks a task as done in a chunk whose version the caller has raised. The task may be marked already,
-    /// because all members of a gang are marked when the first one completes.
-    fn mark_done(&mut self, index: u32) {
-        let chunk = self.chunks.entry(index / TASKS_PER_CHUNK).or_default();
-        if chunk.mark_done(index) {
-            self.done_count += 1;
-        }
-    }
-
     /// Adds a new attempt at a task. Its intent is not durable yet.
     pub(in crate::core) fn start_attempt(
         &mut self,
@@ -188,10 +179,10 @@
             self.next_unplaced += 1;
         }
         self.active.insert(index, attempt);
+        self.assign_record(index);
         self.last_placed = now;
         self.boosted_tasks = self.boosted_tasks.saturating_sub(1);
         self.pending_intent_count += 1;
-        self.touch_chunk(index);
     }
 
     /// Removes the attempt at a task, which is proved gone, and requeues the task unless it is done or the
@@ -206,7 +197,7 @@
         if !attempt.durable {
             self.pending_intent_count = self.pending_intent_count.saturating_sub(1);
         }
-        self.touch_chunk(index).hold(now, index, attempt.id);
+        self.hold_end(now, index, &attempt);
         if end == AttemptEnd::Completed {
             self.mark_done(index);
             self.saved_progress.remove(&index);
@@ -227,61 +218,6 @@
         self.requeued.clear();
     }
 
-    /// The indices of the chunks to be written now. Chunks with new intents are written at once; chunks whose
-    /// only changes are ends of attempts wait for the batching delay.
-    pub fn dirty_chunks(&self, now: Instant) -> Vec<u32> {
-        let is_due = |index: u32, chunk: &TaskChunk| {
-            chunk.is_write_due(now, || {
-                self.pending_intent_count > 0 && self.intents(index).next().is_some()
-            })
-        };
-        let due = self.chunks.iter().filter(|(i, c)| is_due(**i, c));
-        due.map(|(i, _)| *i).collect()
-    }
-
-    /// Whether at least one chunk has changes that are not durable.
-    pub fn is_dirty(&self) -> bool {
-        self.chunks.values().any(TaskChunk::is_dirty)
-    }
-
-    /// The value that is to be stored for a chunk.
-    pub fn chunk_value(&self, chunk: u32) -> ChunkValue {
-        ChunkValue {
-            done: self.chunks.get(&chunk).map_or(0, |c| c.done_bits),
-            active: self
-                .active_in(chunk)
-                .map(|(index, attempt)| Intent::new(*index, attempt.id, attempt.machine.clone()))
-                .collect(),
-        }
-    }
-
-    /// The number of active attempts at tasks of a chunk. The value that is to be stored for the chunk lists
-    /// all of them.
-    pub(in crate::core) fn attempts_in(&self, chunk: u32) -> usize {
-        self.active_in(chunk).count()
-    }
-
-    /// The task indices and ids of the attempts in a chunk whose intents are not durable.
-    pub fn intents(&self, chunk: u32) -> impl Iterator<Item = (u32, AttemptId)> + '_ {
-        self.active_in(chunk)
-            .filter(|(_, a)| !a.durable)
-            .map(|(i, a)| (*i, a.id))
-    }
-
-    /// Records that `version` of a chunk is durable, and that its key was written at `revision`.
-    pub fn written(&mut self, chunk: u32, version: u64, revision: u64) {
-        if let Some(chunk) = self.chunks.get_mut(&chunk) {
-            chunk.written(version, revision);
-        }
-    }
-
-    /// Whether an attempt at the task with this index has ended while the record of its end is not durable
-    /// yet.
-    pub(in crate::core) fn is_held(&self, index: u32, attempt: AttemptId) -> bool {
-        self.chunk_of(index)
-            .is_some_and(|c| c.is_held(index, attempt))
-    }
-
     /// The indices of up to `max` tasks that wait to be placed, requeued tasks first. Tasks whose chunk has
     /// no room for another attempt in its stored value are left out.
     pub fn pending(&self, max: usize) -> Vec<u32> {
@@ -317,14 +253,6 @@
     pub fn running_count(&self) -> u32 {
         self.active.values().filter(|a| a.is_running()).count() as u32
     }
-
-    fn chunk_of(&self, index: u32) -> Option<&TaskChunk> {
-        self.chunks.get(&(index / TASKS_PER_CHUNK))
-    }
-
-    fn active_in(&self, chunk: u32) -> impl Iterator<Item = (&u32, &ActiveAttempt)> {
-        self.active.range(TaskChunk::task_range(chunk))
-    }
 }
 
 /// Tracks the number of further attempts that fit into the stored value of each chunk of an array.
--- a/src/core/state/job_events.rs
+++ b/src/core/state/job_events.rs
@@ -29,6 +29,7 @@
         }
         let mut job = Job::new(spec, revision, arrived);
         job.blocked = status != DependencyState::Ready;
+        job.max_value_bytes = self.config.value_bytes;
         job.max_attempts_per_chunk = attempts_per_chunk(self.config.value_bytes);
         job.deadline = job.spec.due.map(|due| arrived + due);
         job.own_rank.deadline = job.deadline;
--- a/src/core/state/mod.rs
+++ b/src/core/state/mod.rs
@@ -14,6 +14,7 @@
 pub mod fleet;
 pub mod image_cache;
 mod job;
+mod job_chunks;
 pub(crate) mod job_events;
 pub mod job_table;
 pub mod liveness;
--- a/src/net/wire/stored.rs
+++ b/src/net/wire/stored.rs
@@ -8,7 +8,7 @@
     AttemptId, JobId, JobKind, JobSpec, MachineId, MachineTypeName, Priority, Resources, TeamName,
     Zone,
 };
-use crate::core::persistence::records::{ChunkValue, Intent, JobOutcome};
+use crate::core::persistence::records::{max_text_bytes, ChunkValue, Intent, JobOutcome};
 use crate::core::placement::history::HistorySummary;
 use serde::{Deserialize, Serialize};
 
@@ -173,19 +173,6 @@
     }
 }
 
-/// An upper bound in bytes of a text's size in the text form by which the store measures values, including
-/// quotes and a comma.
-fn max_text_bytes(text: &str) -> usize {
-    const QUOTES_AND_COMMA_BYTES: usize = 3;
-    let char_bytes = |c: char| match c {
-        '"' | '\\' => 2,
-        ' '..='~' => 1,
-        // `\uXXXX`, which is needed twice for characters that UTF-16 encodes as a surrogate pair.
-        c => 6 * c.len_utf16(),
-    };
-    text.chars().map(char_bytes).sum::<usize>() + QUOTES_AND_COMMA_BYTES
-}
-
 /// `j/<job id>`: a job's outcome.
 #[derive(Debug, Serialize, Deserialize)]
 pub struct StoredOutcome {
--- a/tests/scheduler/main.rs
+++ b/tests/scheduler/main.rs
@@ -26,4 +26,5 @@
 mod store_transactions;
 mod termination_proofs;
 mod unguaranteed_teams;
+mod value_limits;
 mod worker_distribution;
