Room that preemption frees is kept for the job that it was freed for

Causes: the freed room was kept for nobody, and the next round gave it to the job that comes first in the queue, whose tasks had just been stopped. And each of the two jobs may preempt the other.

Change: a nomination keeps the room on the machine until the beneficiary starts, no longer waits, or 20 s pass; nominated tasks are placed before the queue, after 3 s also on other machines. Room without a start is counted (preemptions_without_start in the summary) and delays the next preemption for the job by 10 s, doubling to 160 s.

--- a/src/core/placement/apply.rs
+++ b/src/core/placement/apply.rs
@@ -2,9 +2,9 @@
 
 use crate::core::model::{AttemptId, JobId};
 use crate::core::placement::plan::{RoundOutcome, RoundPlan, StartKind, TaskStart, WaitingTasks};
-use crate::core::placement::preemption::Preemption;
+use crate::core::placement::preemption::{Beneficiary, Preemption, PreemptionPlan};
 use crate::core::state::attempts::Assignment;
-use crate::core::state::ClusterState;
+use crate::core::state::{ClusterState, Job};
 use std::time::{Duration, Instant};
 
 /// A job is starved if it has waiting tasks and none of its tasks was placed for longer than this. The
@@ -30,6 +30,9 @@
         self.recent_usage.update(now, self.quota_usage.by_team());
         self.mark_starved_jobs(now);
         self.start_limiter.refill(now);
+        let jobs = &self.jobs;
+        let is_waiting = |job_id: &JobId| jobs.get(job_id).is_some_and(is_waiting);
+        self.nominations.expire(now, is_waiting);
         let plan = self.plan_round(now);
         self.apply_round(now, plan)
     }
@@ -52,7 +55,7 @@
     fn apply_round(&mut self, now: Instant, plan: RoundPlan) -> RoundOutcome {
         self.start_limiter.consume(plan.starts.len());
         self.start_tasks(now, plan.starts);
-        self.preempt_tasks(now, plan.preemptions);
+        self.preempt_tasks(now, plan.preemption);
         self.record_unplaced_sizes(&plan.waiting);
         RoundOutcome {
             waiting: plan.waiting,
@@ -89,14 +92,19 @@
                 estimated_run_time: start.expected_run,
             };
             self.assign(now, assignment);
+            self.nominations.on_start(&start.job_id, &start.machine);
         }
     }
 
-    fn preempt_tasks(&mut self, now: Instant, preemptions: Vec<Preemption>) {
-        for Preemption { task, reason } in preemptions {
+    fn preempt_tasks(&mut self, now: Instant, plan: PreemptionPlan) {
+        for Preemption { task, reason } in plan.preemptions {
             log::debug!("preempting task={task} reason={reason}");
             self.kill(now, &task.job_id, task.index, Duration::ZERO);
         }
+        for Beneficiary { job_id, machine } in plan.beneficiaries {
+            log::debug!("keeping room job={job_id} machine={machine}");
+            self.nominations.add(now, &job_id, machine);
+        }
     }
 
     /// Records the sizes of the waiting tasks that have no reservation on a booting machine. In the next
@@ -116,3 +124,7 @@
         }
     }
 }
+
+fn is_waiting(job: &Job) -> bool {
+    !job.is_over() && job.waiting_count() > 0
+}
--- a/src/core/placement/array.rs
+++ b/src/core/placement/array.rs
@@ -5,6 +5,7 @@
 use crate::core::placement::queue::QueueEntry;
 use crate::core::placement::round::{is_subject_to_start_limit, PlacementRound};
 use crate::core::placement::scoring::{ScoredSlot, TaskGroup};
+use crate::core::placement::slots::Slot;
 use crate::core::placement::zone_constraints::ZoneUse;
 use crate::core::state::{ClusterState, Job};
 use std::cmp::Reverse;
@@ -32,6 +33,14 @@
     ranked: Option<BinaryHeap<Reverse<ScoredSlot>>>,
 }
 
+/// Room that is kept for a task.
+#[derive(Clone, Copy)]
+struct KeptRoom {
+    /// The index of the slot in the round.
+    slot: usize,
+    may_start_elsewhere: bool,
+}
+
 /// The saved progress of a task in whole steps of [`PROGRESS_STEP_S`].
 fn progress_steps(job: &Job, index: u32) -> u64 {
     let saved = job.saved_progress.get(&index).copied().unwrap_or_default();
@@ -39,6 +48,14 @@
 }
 
 impl ArrayPlacement<'_> {
+    /// Sets the saved progress of the group to that of a task. Returns whether it was the same before.
+    fn set_saved_progress(&mut self, index: u32) -> bool {
+        let steps = progress_steps(self.group.job, index);
+        let saved_progress = Duration::from_secs_f64(steps as f64 * PROGRESS_STEP_S);
+        let previous = std::mem::replace(&mut self.group.saved_progress, saved_progress);
+        previous == saved_progress
+    }
+
     /// Starts a task on a slot that has enough free resources now.
     fn start(&mut self, index: u32, chosen: &ScoredSlot, round: &mut PlacementRound<'_>) {
         let job = self.group.job;
@@ -149,6 +166,83 @@
         }
     }
 
+    /// Starts the tasks of an array for which others were preempted, on the machines where room is kept for
+    /// them or on others that are free now. If the room is not free yet, keeps it from all other tasks.
+    pub(super) fn plan_nominated<'a>(
+        &'a self,
+        entry: QueueEntry<'a>,
+        round: &mut PlacementRound<'a>,
+    ) {
+        let spec = &entry.job.spec;
+        let nominations = self.nominations.of_job(&spec.job_id);
+        if nominations.is_empty() || entry.boosted_tasks.is_some() {
+            return;
+        }
+        let Some(team) = self.team_that_may_start(&spec.team) else {
+            return;
+        };
+        let rooms: Vec<KeptRoom> = nominations
+            .iter()
+            .filter_map(|nomination| {
+                let is_on = |slot: &Slot<'_>| slot.machine.id == nomination.machine;
+                Some(KeptRoom {
+                    slot: round.slots.iter().position(is_on)?,
+                    may_start_elsewhere: nomination.is_overdue(round.now),
+                })
+            })
+            .collect();
+        let nominated = QueueEntry {
+            job: entry.job,
+            boosted_tasks: Some(rooms.len() as u32),
+        };
+        let pending = pending_tasks(nominated, round);
+        let mut array = self.begin_array(entry, round);
+        let mut usage = round.usage_of(&spec.team);
+        for (index, room) in pending.into_iter().zip(rooms) {
+            if !team.allows(&usage, &spec.resources) {
+                round.quota_limited_jobs.push(&spec.job_id);
+                break;
+            }
+            usage.add(&spec.resources);
+            self.plan_nominated_task(index, room, &mut array, round);
+        }
+        round.team_usage.insert(spec.team.clone(), usage);
+    }
+
+    fn plan_nominated_task(
+        &self,
+        index: u32,
+        room: KeptRoom,
+        array: &mut ArrayPlacement<'_>,
+        round: &mut PlacementRound<'_>,
+    ) {
+        array.set_saved_progress(index);
+        let (job, now) = (array.group.job, round.now);
+        let may_use = self.may_use_slot(now, job, &round.slots[room.slot], &array.zones);
+        let kept = self.score(now, &array.group, &round.slots, room.slot);
+        let mut chosen = kept.filter(|slot| may_use && slot.free_now);
+        if chosen.is_none() && room.may_start_elsewhere {
+            let ranked = self.ranked_slots(now, &array.group, &round.slots, &array.zones);
+            let free = ranked.into_iter().map(|Reverse(slot)| slot);
+            chosen = free.filter(|slot| slot.free_now).min();
+        }
+        if let Some(chosen) = chosen {
+            array.start(index, &chosen, round);
+            return;
+        }
+        let slot = &mut round.slots[room.slot];
+        let run_time = array.group.estimates[slot.type_index].run_time;
+        slot.free.sub(&job.spec.resources);
+        slot.reserve(now, run_time, &job.spec.resources);
+        round.plan.add_waiting(WaitingTasks {
+            job_id: job.spec.job_id.clone(),
+            count: 1,
+            expected_wait: Some(Duration::ZERO),
+            expected_run: run_time,
+            on_booting_machine: false,
+        });
+    }
+
     /// Starts one task on the machine with the lowest score, or reserves resources on that machine if the
     /// task cannot start there now. If there is no such machine, records the task as waiting.
     fn plan_task(
@@ -157,11 +251,8 @@
         array: &mut ArrayPlacement<'_>,
         round: &mut PlacementRound<'_>,
     ) {
-        let steps = progress_steps(array.group.job, index);
-        let saved_progress = Duration::from_secs_f64(steps as f64 * PROGRESS_STEP_S);
-        let has_same_progress = saved_progress == array.group.saved_progress;
+        let has_same_progress = array.set_saved_progress(index);
         if array.ranked.is_none() || array.zones_changed || !has_same_progress {
-            array.group.saved_progress = saved_progress;
             array.zones_changed = false;
             let ranked = self.ranked_slots(round.now, &array.group, &round.slots, &array.zones);
             array.ranked = Some(ranked);
--- a/src/core/placement/mod.rs
+++ b/src/core/placement/mod.rs
@@ -19,6 +19,7 @@
 mod fleet_fit;
 mod gang;
 pub mod history;
+pub mod nominations;
 mod plan;
 mod preemption;
 mod prices;
--- a/src/core/placement/plan.rs
+++ b/src/core/placement/plan.rs
@@ -1,7 +1,7 @@
 //! The decisions of a placement round.
 
 use crate::core::model::{JobId, MachineId, Resources};
-use crate::core::placement::preemption::Preemption;
+use crate::core::placement::preemption::PreemptionPlan;
 use std::time::Duration;
 
 /// Tasks of one job that a round did not start and that are expected to wait equally long.
@@ -64,7 +64,7 @@
 #[derive(Default)]
 pub(super) struct RoundPlan {
     pub(super) starts: Vec<TaskStart>,
-    pub(super) preemptions: Vec<Preemption>,
+    pub(super) preemption: PreemptionPlan,
     pub(super) waiting: Vec<WaitingTasks>,
     pub(super) spare: Vec<SpareResources>,
     /// The round left out at least one task because of the start limiter rather than for lack of machines.
--- a/src/core/placement/preemption/for_resources.rs
+++ b/src/core/placement/preemption/for_resources.rs
@@ -1,9 +1,10 @@
 //! Preemption that frees resources on machines. A victim has a lower priority than the preemptor, or its
 //! team borrows beyond its guarantee while the preemptor's job is within the guarantee of its own team.
 
-use crate::core::model::{JobKind, JobSpec, Priority, Resources, TaskId, TeamName};
+use crate::core::model::{JobKind, JobSpec, MachineId, Priority, Resources, TaskId, TeamName};
 use crate::core::placement::preemption::{
-    Preemption, PreemptionInput, PreemptionReason, MAX_PREEMPTIONS_PER_ROUND, MIN_PREEMPTION_WAIT,
+    Beneficiary, Preemption, PreemptionInput, PreemptionPlan, PreemptionReason,
+    MAX_PREEMPTIONS_PER_ROUND, MIN_PREEMPTION_WAIT,
 };
 use crate::core::placement::round::{SCORE_RESOLUTION_S, SUCCESSOR_START_DELAY};
 use crate::core::placement::slots::Slot;
@@ -83,16 +84,16 @@
     free: Vec<Resources>,
     /// The usage of each team, less that of the selected victims.
     team_usage: HashMap<TeamName, Resources>,
-    preemptions: Vec<Preemption>,
+    plan: PreemptionPlan,
 }
 
 impl Selection<'_> {
     fn is_full(&self) -> bool {
-        self.preemptions.len() >= MAX_PREEMPTIONS_PER_ROUND
+        self.plan.preemptions.len() >= MAX_PREEMPTIONS_PER_ROUND
     }
 
     /// Selects these victims and assigns the freed resources to one task of the preemptor.
-    fn select(&mut self, chosen: VictimSet, preemptor: &Preemptor<'_>) {
+    fn select(&mut self, chosen: VictimSet, preemptor: &Preemptor<'_>, machine: &MachineId) {
         let slot = chosen.slot;
         for index in chosen.victims {
             let victim = &self.victims[slot][index];
@@ -102,12 +103,16 @@
                 usage.sub(resources);
             }
             self.selected[slot].insert(index);
-            self.preemptions.push(Preemption {
+            self.plan.preemptions.push(Preemption {
                 task: victim.task.clone(),
                 reason: PreemptionReason::ResourceShortage,
             });
         }
         self.free[slot].sub(&preemptor.job.spec.resources);
+        self.plan.beneficiaries.push(Beneficiary {
+            job_id: preemptor.job.spec.job_id.clone(),
+            machine: machine.clone(),
+        });
     }
 }
 
@@ -116,21 +121,21 @@
     pub(super) fn plan_preemptions_for_resources(
         &self,
         input: &PreemptionInput<'_>,
-    ) -> Vec<Preemption> {
+    ) -> PreemptionPlan {
         let mut preemptors = input
             .waiting
             .chunk_by(|a, b| a.job_id == b.job_id)
             .filter_map(|waiting| self.preemptor(waiting, input))
             .peekable();
         if preemptors.peek().is_none() {
-            return Vec::new();
+            return PreemptionPlan::default();
         }
         let mut selection = Selection {
             victims: self.victims_by_slot(input),
             selected: vec![HashSet::new(); input.slots.len()],
             free: input.slots.iter().map(|slot| slot.free).collect(),
             team_usage: self.quota_usage.by_team(),
-            preemptions: Vec::new(),
+            plan: PreemptionPlan::default(),
         };
         while !selection.is_full() {
             let Some(preemptor) = preemptors.next() else {
@@ -138,7 +143,7 @@
             };
             self.preempt_for(&preemptor, input, &mut selection);
         }
-        selection.preemptions
+        selection.plan
     }
 
     /// Returns the preemptor for the waiting tasks of one job, or `None` if nothing may be preempted for
@@ -152,7 +157,8 @@
         let spec = &job.spec;
         let within_guarantee = input.jobs_within_guarantee.contains(&spec.job_id);
         let may_preempt = within_guarantee || spec.priority > Priority::Standard;
-        if spec.kind == JobKind::Gang || !may_preempt {
+        let backs_off = self.nominations.is_backing_off(input.now, &spec.job_id);
+        if spec.kind == JobKind::Gang || !may_preempt || backs_off {
             return None;
         }
         let max_wait = self.max_wait_before_preemption(spec);
@@ -160,7 +166,10 @@
             .iter()
             .filter(|w| w.expected_wait.is_none_or(|wait| wait > max_wait))
             .collect();
-        let tasks = overdue.iter().map(|w| w.count).sum();
+        // Room is kept already for some tasks of the job.
+        let nominated = self.nominations.of_job(&spec.job_id).len();
+        let tasks: usize = overdue.iter().map(|w| w.count).sum();
+        let tasks = tasks.saturating_sub(nominated);
         let shortest_time_to_end = overdue
             .iter()
             .filter_map(|w| Some(w.expected_wait? + w.expected_run))
@@ -247,7 +256,7 @@
                 break;
             };
             let slot = chosen.slot;
-            selection.select(chosen, preemptor);
+            selection.select(chosen, preemptor, &input.slots[slot].machine.id);
             let next = self.victims_on(slot, preemptor, input, selection);
             cheapest.extend(next.map(Reverse));
         }
@@ -317,7 +326,9 @@
     }
 
     /// Whether the victim has a lower priority than the preemptor, or borrows beyond its team's guarantee
-    /// while the preemptor is within the guarantee of another team.
+    /// while the preemptor is within the guarantee of another team. A job that borrows does not preempt another
+    /// team's job within its guarantee, whatever the priorities: that job could preempt it in turn, and the two
+    /// would stop each other's tasks without end.
     fn may_preempt(
         &self,
         preemptor: &Preemptor<'_>,
@@ -325,10 +336,14 @@
         team_usage: &HashMap<TeamName, Resources>,
     ) -> bool {
         let (preemptor_spec, victim_spec) = (&preemptor.job.spec, &victim.job.spec);
+        let is_other_team = victim_spec.team != preemptor_spec.team;
+        if is_other_team && victim.within_guarantee && !preemptor.within_guarantee {
+            return false;
+        }
         victim_spec.priority < preemptor_spec.priority
             || preemptor.within_guarantee
                 && !victim.within_guarantee
-                && victim_spec.team != preemptor_spec.team
+                && is_other_team
                 && self.is_beyond_guarantee(&victim_spec.team, team_usage)
     }
 }
--- a/src/core/placement/preemption/mod.rs
+++ b/src/core/placement/preemption/mod.rs
@@ -16,7 +16,7 @@
 #[cfg(test)]
 pub(in crate::core) use cost::preemption_cost;
 
-use crate::core::model::{JobId, TaskId};
+use crate::core::model::{JobId, MachineId, TaskId};
 use crate::core::placement::slots::Slot;
 use crate::core::placement::WaitingTasks;
 use crate::core::state::ClusterState;
@@ -57,6 +57,21 @@
     pub(in crate::core) reason: PreemptionReason,
 }
 
+/// The decision to keep the room that preemptions free on a machine for one task of a job.
+#[derive(Clone, Debug)]
+pub(in crate::core) struct Beneficiary {
+    pub(in crate::core) job_id: JobId,
+    pub(in crate::core) machine: MachineId,
+}
+
+/// The tasks to preempt, and the tasks that get the room of those that free resources.
+#[must_use]
+#[derive(Debug, Default)]
+pub(in crate::core) struct PreemptionPlan {
+    pub(in crate::core) preemptions: Vec<Preemption>,
+    pub(in crate::core) beneficiaries: Vec<Beneficiary>,
+}
+
 /// Whether the start of a task is protected. A protected task is not preempted until it has run long
 /// enough for its start to have been useful.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -82,10 +97,9 @@
 impl ClusterState {
     /// Selects the tasks to preempt: first to free resources on machines, then within teams to respect
     /// their limits.
-    #[must_use]
-    pub(in crate::core) fn plan_preemptions(&self, input: &PreemptionInput<'_>) -> Vec<Preemption> {
-        let mut preemptions = self.plan_preemptions_for_resources(input);
-        self.plan_preemptions_within_teams(input, &mut preemptions);
-        preemptions
+    pub(in crate::core) fn plan_preemptions(&self, input: &PreemptionInput<'_>) -> PreemptionPlan {
+        let mut plan = self.plan_preemptions_for_resources(input);
+        self.plan_preemptions_within_teams(input, &mut plan.preemptions);
+        plan
     }
 }
--- a/src/core/placement/round.rs
+++ b/src/core/placement/round.rs
@@ -59,6 +59,9 @@
             &round.jobs_within_guarantee,
             &round.teams_over_fair_share,
         );
+        for entry in &queue {
+            self.plan_nominated(*entry, &mut round);
+        }
         for entry in queue {
             match entry.job.spec.kind {
                 JobKind::Gang => self.plan_gang(entry, &mut round),
@@ -118,7 +121,7 @@
                 .get(id)
                 .is_some_and(|job| !job.crash_loop.is_suspected())
         });
-        plan.preemptions = self.plan_preemptions(&PreemptionInput {
+        plan.preemption = self.plan_preemptions(&PreemptionInput {
             now,
             waiting: &plan.waiting,
             slots: &slots,
--- a/src/core/state/cluster_state.rs
+++ b/src/core/state/cluster_state.rs
@@ -12,6 +12,7 @@
 use crate::core::model::{MachineType, Resources, SchedulerConfig, Term};
 use crate::core::persistence::pending_writes::PendingWrites;
 use crate::core::placement::history::History;
+use crate::core::placement::nominations::Nominations;
 use crate::core::placement::start_limiter::StartLimiter;
 use crate::core::reconciliation::unreadable_records::UnreadableRecords;
 use crate::core::state::actions::Action;
@@ -81,6 +82,8 @@
     pub takeover: Takeover,
     /// The limiter of the rate of task starts, which takes effect while controllers are overloaded.
     pub start_limiter: StartLimiter,
+    /// Room on machines that is kept for the tasks for which others were preempted.
+    pub nominations: Nominations,
     /// Measured run times and image fetch rates.
     pub history: History,
     /// Rentals that are in progress, and what is known about demand and about the cloud.
@@ -125,6 +128,7 @@
             unreadable_records: UnreadableRecords::default(),
             takeover: Takeover::new(&config.recovery, deployment, now),
             start_limiter: StartLimiter::default(),
+            nominations: Nominations::default(),
             history: History::default(),
             capacity: Capacity::default(),
             writes: PendingWrites::new(now, config.tuning.summary_interval),
--- a/src/runtime/core_publication.rs
+++ b/src/runtime/core_publication.rs
@@ -56,12 +56,13 @@
     let active: usize = cluster.jobs.values().map(|job| job.active.len()).sum();
     let start_limit = cluster.start_limiter.limit();
     log::info!(
-        "summary term={} jobs={} queued={queued} active={active} timer_lag_ms={} start_limit={} machines={} {} {} {} {}",
+        "summary term={} jobs={} queued={queued} active={active} timer_lag_ms={} start_limit={} machines={} preemptions_without_start={} {} {} {} {}",
         cluster.term.0,
         cluster.jobs.len(),
         context.timer_lag.average().as_millis(),
         start_limit.map_or(NO_START_LIMIT, f64::round),
         cluster.fleet.machines.len(),
+        cluster.nominations.without_start(),
         meters.starts.take_log_fields("starts"),
         meters.rounds.take_log_fields("rounds"),
         meters.store.take_log_fields("store_calls"),
--- a/tests/scheduler/preemption.rs
+++ b/tests/scheduler/preemption.rs
@@ -1,5 +1,6 @@
 //! Preemption: which running task is stopped for which waiting one.
 
+use crate::common::fleet::SimulatedFleet;
 use crate::common::*;
 use cypressgap::core::model::*;
 
@@ -96,3 +97,111 @@
         assert_eq!(is_killed, preempted, "{name}");
     }
 }
+
+/// Guards against two jobs that stop each other's tasks without end: one within its team's guarantee, and a
+/// more urgent one of a team that borrows, which takes the room back each time.
+#[test]
+fn room_freed_by_preemption_goes_to_the_job_that_it_was_freed_for() {
+    struct Case {
+        name: &'static str,
+        borrower: Priority,
+        borrower_kind: JobKind,
+        guaranteed: Priority,
+    }
+    let cases = [
+        Case {
+            name: "an urgent job that borrows",
+            borrower: Priority::High,
+            borrower_kind: JobKind::Batch,
+            guaranteed: Priority::Standard,
+        },
+        Case {
+            name: "the most urgent job against the least urgent",
+            borrower: Priority::Production,
+            borrower_kind: JobKind::Batch,
+            guaranteed: Priority::Idle,
+        },
+        Case {
+            name: "equal priorities",
+            borrower: Priority::Standard,
+            borrower_kind: JobKind::Batch,
+            guaranteed: Priority::Standard,
+        },
+    ];
+    for case in cases {
+        let Case { name, .. } = case;
+        let mut fleet = SimulatedFleet::new(config(), 1, 8.0);
+        let mut borrower = spec("wk-000001", 4, 2.0);
+        borrower.team = "grey".into();
+        borrower.priority = case.borrower;
+        borrower.kind = case.borrower_kind;
+        borrower.checkpoint_interval = secs(0);
+        fleet.fixture.job(borrower);
+        for _ in 0..5 {
+            fleet.second(|_| secs(40));
+        }
+        assert_eq!(fleet.launched[&JobId::from("wk-000001")], 4, "{name}");
+        let mut guaranteed = spec("wk-000002", 4, 2.0);
+        guaranteed.team = "blue".into();
+        guaranteed.priority = case.guaranteed;
+        guaranteed.checkpoint_interval = secs(0);
+        let submitted = fleet.fixture.now;
+        fleet.fixture.job(guaranteed);
+        for _ in 0..100 {
+            fleet.second(|_| secs(40));
+        }
+        let started = fleet.first_launch.get(&"wk-000002".into());
+        let waited = started.map(|at| *at - submitted);
+        assert!(
+            waited <= Some(secs(5)) && waited.is_some(),
+            "{name}: {waited:?}"
+        );
+        assert_eq!(fleet.done.get(&"wk-000002".into()), Some(&4), "{name}");
+        assert_eq!(fleet.done.get(&"wk-000001".into()), Some(&4), "{name}");
+        let launched = fleet.launched[&JobId::from("wk-000001")];
+        assert_eq!(launched, 8, "{name}: each task is stopped once");
+        assert_eq!(fleet.fixture.cluster.nominations.without_start(), 0);
+    }
+}
+
+/// Guards against tasks that are stopped one after the other for a job that gets nowhere, because the machine
+/// on which the first of them was stopped is silent from then on.
+#[test]
+fn preemptions_without_a_start_are_repeated_at_growing_intervals() {
+    let mut fleet = SimulatedFleet::new(config(), 3, 8.0);
+    let mut borrower = spec("wk-000001", 3, 8.0);
+    borrower.team = "grey".into();
+    borrower.expected = secs(500);
+    fleet.fixture.job(borrower);
+    for _ in 0..5 {
+        fleet.second(|_| secs(500));
+    }
+    let mut guaranteed = spec("wk-000002", 1, 8.0);
+    guaranteed.team = "blue".into();
+    fleet.fixture.job(guaranteed);
+    // The seconds after which tasks were stopped, with their machines.
+    let mut stopped: Vec<(u32, MachineId)> = Vec::new();
+    for second in 0..200 {
+        fleet.second(|_| secs(500));
+        let jobs = &fleet.fixture.cluster.jobs;
+        for attempt in jobs[&JobId::from("wk-000001")].active.values() {
+            let is_new = stopped
+                .iter()
+                .all(|(_, machine)| *machine != attempt.machine);
+            if attempt.kill_request.is_some() && is_new {
+                stopped.push((second, attempt.machine.clone()));
+                if stopped.len() < 3 {
+                    // The first two machines fall silent before they receive the kill.
+                    fleet.tasks_by_machine.remove(&attempt.machine);
+                }
+            }
+        }
+    }
+    let seconds: Vec<u32> = stopped.iter().map(|s| s.0).collect();
+    assert_eq!(seconds.len(), 3, "{seconds:?}");
+    // Room is kept for 20 s, and the back-off is 10 s and then 20 s.
+    assert!(seconds[1] - seconds[0] >= 30, "{seconds:?}");
+    assert!(seconds[2] - seconds[1] >= 40, "{seconds:?}");
+    assert_eq!(fleet.fixture.cluster.nominations.without_start(), 2);
+    assert_eq!(fleet.launched[&JobId::from("wk-000002")], 1);
+}
