Machines are kept for a starved job only as far as that brings its start

Cause: machines that a starved job waits for were closed to all tasks behind it, without a look at whether they could hold it, or when. Starved arrays closed busy machines in the same way.

Change: nothing is kept for a gang that the machines which are up cannot hold in zones that its job permits. What is kept is kept until the expected start; tasks that are expected to end before it, and those within their team's guarantee, start there as ever. Arrays follow the same rule.

Tests, both failed before: starved_jobs::a_starved_gang_that_the_fleet_cannot_ hold_keeps_nothing ("six machines of two, red: None") and a_starved_job_keeps_machines_only_from_work_that_would_delay_it ("gang: a short job waits"); the latter also asserts that the starved job starts.

--- a/src/core/placement/array.rs
+++ b/src/core/placement/array.rs
@@ -1,6 +1,5 @@
 //! Places the tasks of job arrays one at a time.
 
-use crate::core::model::Resources;
 use crate::core::placement::plan::{StartKind, TaskStart, WaitingTasks};
 use crate::core::placement::queue::QueueEntry;
 use crate::core::placement::round::{is_subject_to_start_limit, PlacementRound};
@@ -89,7 +88,7 @@
             // Smaller tasks would otherwise use freed resources before enough are free for a task of this
             // job.
             self.exclusive_machines -= 1;
-            slot.free = Resources::default();
+            slot.keep_until(chosen.available_at);
         }
         let wait = chosen.available_at.saturating_duration_since(round.now);
         round.longest_wait = round.longest_wait.max(wait);
@@ -157,6 +156,7 @@
                 job,
                 estimates: self.type_estimates(&job.spec, &round.fetch_rates_gb_per_s),
                 saved_progress: Duration::ZERO,
+                within_guarantee: round.jobs_within_guarantee.contains(&job.spec.job_id),
                 over_fair_share: round.teams_over_fair_share.contains(&job.spec.team),
             },
             exclusive_machines: entry.boosted_tasks.map_or(0, |_| exclusive),
--- a/src/core/placement/gang.rs
+++ b/src/core/placement/gang.rs
@@ -1,6 +1,6 @@
 //! Places gangs: all members start together, and only if each of them has free resources now.
 
-use crate::core::model::{JobSpec, Resources, Zone};
+use crate::core::model::{JobSpec, Zone};
 use crate::core::placement::plan::{StartKind, TaskStart, WaitingTasks};
 use crate::core::placement::queue::QueueEntry;
 use crate::core::placement::round::{PlacementRound, MAX_TASKS_PER_ROUND};
@@ -26,6 +26,17 @@
     fetch_delay: Duration,
 }
 
+/// A machine that can hold members of a gang. Candidates are ordered by time.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct GangCandidate {
+    /// When the machine is expected to have room for all of `members`.
+    at: Instant,
+    /// The index of the slot in the round.
+    slot: usize,
+    /// The number of members that fit on the machine when it is empty.
+    members: usize,
+}
+
 /// A slot for each member of a gang.
 struct MemberSlots {
     /// The highest [`MemberCost::cost`] among the members.
@@ -66,7 +77,7 @@
             return;
         }
         if entry.boosted_tasks.is_some() {
-            self.reserve_machines_for_gang(spec, &costs, round);
+            self.keep_machines_for_gang(spec, &costs, round);
         }
         round.plan.add_waiting(WaitingTasks {
             job_id: spec.job_id.clone(),
@@ -80,6 +91,7 @@
     /// The cost of one member on each usable slot, lowest first. All members have the same costs.
     fn member_costs(&self, job: &Job, round: &PlacementRound<'_>) -> Vec<MemberCost> {
         let zones = ZoneUse::for_job(job, &self.zone_of());
+        let within_guarantee = round.jobs_within_guarantee.contains(&job.spec.job_id);
         let mut costs: Vec<MemberCost> = round
             .slots
             .iter()
@@ -94,6 +106,10 @@
                     slot: index,
                 }
             })
+            .filter(|member| {
+                let ends_at = round.now + member.cost;
+                round.slots[member.slot].admits(ends_at, within_guarantee)
+            })
             .collect();
         costs.sort();
         costs
@@ -133,47 +149,118 @@
         }
     }
 
-    /// For the rest of this round, places no further tasks on the machines that are expected to have room for
-    /// the members of a starved gang soonest. Otherwise other tasks would use every resource that becomes
-    /// free, and the resources for all members would never be free at the same time.
-    fn reserve_machines_for_gang(
+    /// For the rest of this round, keeps the machines that are expected to have room for all members of a
+    /// starved gang soonest. Otherwise other tasks would use every resource that becomes free, and the
+    /// resources for all members would never be free at the same time. Nothing is kept if the machines that are
+    /// up could not hold the gang even when empty. See [`Slot::admits`] for the tasks that may start there.
+    fn keep_machines_for_gang(
         &self,
         spec: &JobSpec,
         costs: &[MemberCost],
         round: &mut PlacementRound<'_>,
     ) {
-        let capacity_of = |slot: &Slot<'_>| &self.fleet.types[slot.type_index].capacity;
-        let mut soonest: Vec<(Instant, usize)> = costs
+        let candidates = self.gang_candidates(spec, costs, round);
+        let Some(chosen) = soonest_machines(spec, &round.slots, &candidates) else {
+            return;
+        };
+        let Some(start) = chosen.iter().map(|candidate| candidate.at).max() else {
+            return;
+        };
+        for candidate in chosen {
+            round.slots[candidate.slot].keep_until(start);
+        }
+    }
+
+    /// The machines that can hold members of a gang, the earliest first.
+    fn gang_candidates(
+        &self,
+        spec: &JobSpec,
+        costs: &[MemberCost],
+        round: &PlacementRound<'_>,
+    ) -> Vec<GangCandidate> {
+        let mut candidates: Vec<GangCandidate> = costs
             .iter()
             .filter_map(|member| {
                 let slot = &round.slots[member.slot];
-                let available = slot.availability(round.now, &spec.resources, capacity_of(slot))?;
-                Some((available.at, member.slot))
+                let capacity = &self.fleet.types[slot.type_index].capacity;
+                let fitting = spec.resources.count_fitting_in(capacity);
+                let members = fitting.min(spec.task_count as usize);
+                let resources = spec.resources.times(members as f64);
+                let available = slot.availability(round.now, &resources, capacity)?;
+                (members > 0).then_some(GangCandidate {
+                    at: available.at,
+                    slot: member.slot,
+                    members,
+                })
             })
             .collect();
-        soonest.sort();
-        let mut missing = spec.task_count as usize;
-        for (_, slot_index) in soonest {
-            if missing == 0 {
-                break;
-            }
-            let slot = &mut round.slots[slot_index];
-            missing = missing.saturating_sub(spec.resources.count_fitting_in(capacity_of(slot)));
-            slot.free = Resources::default();
+        candidates.sort();
+        candidates
+    }
+}
+
+/// Chooses the machines that can hold all members of a gang soonest, in zones that the job permits. Returns
+/// `None` if the candidates cannot hold the gang.
+fn soonest_machines(
+    spec: &JobSpec,
+    slots: &[Slot<'_>],
+    candidates: &[GangCandidate],
+) -> Option<Vec<GangCandidate>> {
+    let choices = permitted_zones(spec, slots)
+        .into_iter()
+        .filter_map(|only_zone| {
+            let in_zone =
+                |c: &&GangCandidate| only_zone.is_none_or(|z| *z == slots[c.slot].machine.zone);
+            let in_zone = candidates.iter().filter(in_zone);
+            first_machines_for_gang(spec, slots, in_zone)
+        });
+    choices.min_by_key(|chosen| chosen.iter().map(|c| c.at).max())
+}
+
+/// Takes candidates in order until they hold all members. Returns `None` if they do not.
+fn first_machines_for_gang<'a>(
+    spec: &JobSpec,
+    slots: &[Slot<'_>],
+    candidates: impl Iterator<Item = &'a GangCandidate>,
+) -> Option<Vec<GangCandidate>> {
+    let max_per_zone = spec.task_count.div_ceil(2) as usize;
+    let mut count_by_zone: HashMap<&Zone, usize> = HashMap::new();
+    let mut missing = spec.task_count as usize;
+    let mut chosen = Vec::new();
+    for candidate in candidates {
+        let mut members = candidate.members.min(missing);
+        if spec.spread {
+            let zone = &slots[candidate.slot].machine.zone;
+            let in_zone = count_by_zone.entry(zone).or_default();
+            members = members.min(max_per_zone.saturating_sub(*in_zone));
+            *in_zone += members;
+        }
+        if members > 0 {
+            missing -= members;
+            chosen.push(*candidate);
+        }
+        if missing == 0 {
+            return Some(chosen);
         }
     }
+    None
+}
+
+/// The zones of which a gang may use one alone, or `None` alone if it may use all of them together.
+fn permitted_zones<'a>(spec: &JobSpec, slots: &'a [Slot<'_>]) -> Vec<Option<&'a Zone>> {
+    if !spec.same_place {
+        return vec![None];
+    }
+    let mut zones: Vec<Option<&Zone>> = slots.iter().map(|s| Some(&s.machine.zone)).collect();
+    zones.sort();
+    zones.dedup();
+    zones
 }
 
 /// Chooses slots for all members so that the slowest member finishes as early as possible. If the job
 /// requires `same_place`, all slots are in one zone.
 fn choose_members(spec: &JobSpec, slots: &[Slot<'_>], costs: &[MemberCost]) -> Option<MemberSlots> {
-    let mut zones: Vec<Option<&Zone>> = vec![None];
-    if spec.same_place {
-        zones = slots.iter().map(|s| Some(&s.machine.zone)).collect();
-        zones.sort();
-        zones.dedup();
-    }
-    let complete = zones
+    let complete = permitted_zones(spec, slots)
         .into_iter()
         .filter_map(|only_zone| assign_members(spec, slots, costs, only_zone));
     // Among choices with the same `slowest_cost`, the first is kept.
--- a/src/core/placement/scoring.rs
+++ b/src/core/placement/scoring.rs
@@ -52,6 +52,8 @@
     pub(super) saved_progress: Duration,
     /// The job's team uses more than its fair share.
     pub(super) over_fair_share: bool,
+    /// The job is within its team's guarantee.
+    pub(super) within_guarantee: bool,
 }
 
 /// The score of a slot for one task. The lowest is chosen; ties are broken by price, then by leftover
@@ -138,13 +140,17 @@
         }
         let resources = &group.job.spec.resources;
         let capacity = &self.fleet.types[slot.type_index].capacity;
-        let available = slot.availability(now, resources, capacity)?;
         let estimate = &group.estimates[slot.type_index];
         let run_time = estimate
             .run_time
             .saturating_sub(group.saved_progress)
             .mul_f64(slot.slowdown);
         let fetch_delay = slot.fetch_delay(now, estimate.fetch_rate_gb_per_s, group.job);
+        let mut available = slot.availability(now, resources, capacity)?;
+        let ends_at = now + run_time + fetch_delay;
+        if available.free_now && !slot.admits(ends_at, group.within_guarantee) {
+            available = slot.later_availability(now, resources, capacity)?;
+        }
         let wait = available.at.saturating_duration_since(now);
         let mut score = wait + run_time + fetch_delay;
         if !available.free_now && slot.ready_at.is_none() {
--- a/src/core/placement/slots.rs
+++ b/src/core/placement/slots.rs
@@ -36,9 +36,12 @@
     pub(super) machine: &'a Machine,
     /// The index of the machine's type in the fleet.
     pub(super) type_index: usize,
-    /// Resources that are free now, less this round's starts. For a booting machine: those that will be
-    /// free when it is up. Zero in each resource if a starved job has reserved the whole machine.
+    /// Resources that are free now, less this round's starts and room that is kept for nominated tasks. For a
+    /// booting machine: those that will be free when it is up.
     pub(super) free: Resources,
+    /// When a starved job is expected to start on this machine, for which the machine is kept; `None` if it is
+    /// not kept. See [`Slot::admits`].
+    pub(super) kept_until: Option<Instant>,
     /// Free resources less this round's starts and reservations; a component may be negative.
     pub(super) free_unreserved: Resources,
     /// The expected ends of tasks on the machine, of tasks started in this round, and of reservations, the
@@ -62,6 +65,19 @@
 }
 
 impl Slot<'_> {
+    /// Whether a task may start here now, although the machine may be kept for a starved job: a task that is
+    /// expected to end before that job starts, or one within its team's guarantee.
+    pub(super) fn admits(&self, ends_at: Instant, within_guarantee: bool) -> bool {
+        within_guarantee || self.kept_until.is_none_or(|until| ends_at <= until)
+    }
+
+    /// Keeps the machine for a starved job that is expected to start at `until`. If the machine is kept already,
+    /// the earlier time counts.
+    pub(super) fn keep_until(&mut self, until: Instant) {
+        let earliest = self.kept_until.map_or(until, |kept| kept.min(until));
+        self.kept_until = Some(earliest);
+    }
+
     /// Returns when a task that requests `resources` fits on the slot: now if the free resources suffice,
     /// otherwise once enough running tasks and reservations are expected to have ended. Returns `None` if the
     /// task would not fit even after all of these have ended. `capacity`: that of the machine's type.
@@ -71,13 +87,23 @@
         resources: &Resources,
         capacity: &Resources,
     ) -> Option<Availability> {
-        if !resources.fits(capacity) {
-            return None;
-        }
-        if self.ready_at.is_none() && resources.fits(&self.free) {
+        if self.ready_at.is_none() && resources.fits(&self.free) && resources.fits(capacity) {
             let (at, free_now) = (now, true);
             return Some(Availability { at, free_now });
         }
+        self.later_availability(now, resources, capacity)
+    }
+
+    /// As [`Slot::availability`] for a task that may not start now.
+    pub(super) fn later_availability(
+        &self,
+        now: Instant,
+        resources: &Resources,
+        capacity: &Resources,
+    ) -> Option<Availability> {
+        if !resources.fits(capacity) {
+            return None;
+        }
         let free_now = false;
         let mut at = self.ready_at.unwrap_or(now);
         let mut free = self.free_unreserved;
@@ -182,6 +208,7 @@
             type_index,
             free,
             free_unreserved: free,
+            kept_until: None,
             releases: self.expected_releases(now, machine, pending_fetch_time),
             ready_at,
             slowdown: machine.slowdown(),
--- a/src/core/placement/tests.rs
+++ b/src/core/placement/tests.rs
@@ -172,6 +172,7 @@
                 estimates,
                 saved_progress: Duration::ZERO,
                 over_fair_share: false,
+                within_guarantee: false,
             };
             let place = |slots: &mut [Slot<'_>], chosen: &ScoredSlot| {
                 let slot = &mut slots[chosen.slot];
--- a/tests/scheduler/main.rs
+++ b/tests/scheduler/main.rs
@@ -22,6 +22,7 @@
 mod process_pauses;
 mod queue_order;
 mod request_budgets;
+mod starved_jobs;
 mod status_queries;
 mod store_transactions;
 mod termination_proofs;
