Tasks are stopped within a team only if that starts the more urgent job

What callers saw: tasks of a team were stopped and started again each second, for a more urgent job of the team that its limit held back.

Cause: all less urgent tasks were stopped even where their quota together did not suffice for one task of the urgent job, and freed quota was kept for nobody, so that the same tasks took it in the next round.

Change: victims are selected in sets that let one more task start, or not at all, and their quota is kept from the team's less urgent jobs like room on machines, with the same time limit and back-off.

--- a/src/core/placement/apply.rs
+++ b/src/core/placement/apply.rs
@@ -105,6 +105,10 @@
             log::debug!("keeping room job={job_id} machine={machine}");
             self.nominations.add(now, &job_id, machine);
         }
+        for job_id in plan.quota_beneficiaries {
+            log::debug!("keeping quota job={job_id}");
+            self.nominations.add_quota(now, &job_id);
+        }
     }
 
     /// Records the sizes of the waiting tasks that have no reservation on a booting machine. In the next
--- a/src/core/placement/array.rs
+++ b/src/core/placement/array.rs
@@ -129,12 +129,14 @@
         let mut array = self.begin_array(entry, round);
         let start_limited = is_subject_to_start_limit(spec, &round.jobs_within_guarantee);
         let mut usage = round.usage_of(&spec.team);
+        let mut wanted = spec.resources;
+        wanted.add(&self.quota_kept_from(spec));
         for index in pending {
             if start_limited && round.plan.starts.len() >= self.start_limiter.available() {
                 round.plan.start_limit_reached = true;
                 break;
             }
-            if !team.allows(&usage, &spec.resources) {
+            if !team.allows(&usage, &wanted) {
                 round.quota_limited_jobs.push(&spec.job_id);
                 break;
             }
--- a/src/core/placement/gang.rs
+++ b/src/core/placement/gang.rs
@@ -66,7 +66,9 @@
         };
         let mut usage = round.usage_of(&spec.team);
         let gang_resources = spec.resources.times(f64::from(spec.task_count));
-        if !team.allows(&usage, &gang_resources) {
+        let mut wanted = gang_resources;
+        wanted.add(&self.quota_kept_from(spec));
+        if !team.allows(&usage, &wanted) {
             return;
         }
         let costs = self.member_costs(job, round);
--- a/src/core/placement/nominations.rs
+++ b/src/core/placement/nominations.rs
@@ -1,14 +1,14 @@
-//! Nominations: room on machines that is kept for the tasks for which other tasks were preempted.
+//! Nominations: room on machines and quota of teams that are kept for the tasks for which others were preempted.
 //!
-//! The room that a preemption frees is kept for its beneficiary until one of the beneficiary's tasks starts, the
+//! The room or quota that a preemption frees is kept for its beneficiary until one of the beneficiary's tasks starts, the
 //! job no longer waits, or [`NOMINATION_TIMEOUT`] passes. Without this, a job that comes earlier in the queue
-//! would take the room, and would be preempted again in the next round.
+//! would take it, and would be preempted again in the next round.
 //!
-//! Invariant: each preemption for resources brings its beneficiary to a start, or nothing is preempted for that
+//! Invariant: each preemption brings its beneficiary to a start, or nothing is preempted for that
 //! job for an interval that doubles each time.
 
 use crate::core::model::{JobId, MachineId};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
 /// How long room is kept for a task. A machine needs one heartbeat interval to report that the preempted tasks
@@ -39,6 +39,13 @@
     }
 }
 
+/// Quota of a team that is kept for tasks of one of its jobs.
+#[derive(Clone, Copy, Debug)]
+struct KeptQuota {
+    tasks: u32,
+    since: Instant,
+}
+
 /// The time before which nothing is preempted for a job.
 #[derive(Clone, Copy, Debug)]
 struct Backoff {
@@ -50,6 +57,7 @@
 #[derive(Debug, Default)]
 pub struct Nominations {
     by_job: BTreeMap<JobId, Vec<Nomination>>,
+    quota_by_job: BTreeMap<JobId, KeptQuota>,
     backoffs: BTreeMap<JobId, Backoff>,
     without_start: u64,
 }
@@ -64,9 +72,36 @@
         });
     }
 
-    /// Gives up the room for one task of a job, which has started on a machine: on that machine if room was kept
-    /// there, else on any other.
+    /// Keeps quota for one task of a job from the lower-priority jobs of its team.
+    pub(super) fn add_quota(&mut self, now: Instant, job_id: &JobId) {
+        let quota = self.quota_by_job.entry(job_id.clone());
+        let kept = KeptQuota {
+            tasks: 0,
+            since: now,
+        };
+        quota.or_insert(kept).tasks += 1;
+    }
+
+    /// The jobs for which quota is kept, and for how many of their tasks.
+    pub(super) fn quota(&self) -> impl Iterator<Item = (&JobId, u32)> {
+        self.quota_by_job.iter().map(|(id, kept)| (id, kept.tasks))
+    }
+
+    /// Whether tasks of a job's team may be preempted for it: no quota is kept for it, and it does not back off.
+    pub(super) fn may_preempt_for_quota(&self, now: Instant, job_id: &JobId) -> bool {
+        !self.quota_by_job.contains_key(job_id) && !self.is_backing_off(now, job_id)
+    }
+
+    /// Gives up the quota and the room for one task of a job, which has started on a machine: the room on that
+    /// machine if some was kept there, else on any other.
     pub(super) fn on_start(&mut self, job_id: &JobId, machine: &MachineId) {
+        if let Some(quota) = self.quota_by_job.get_mut(job_id) {
+            quota.tasks -= 1;
+            if quota.tasks == 0 {
+                self.quota_by_job.remove(job_id);
+            }
+            self.backoffs.remove(job_id);
+        }
         let Some(nominations) = self.by_job.get_mut(job_id) else {
             return;
         };
@@ -83,17 +118,26 @@
     pub(super) fn expire(&mut self, now: Instant, is_waiting: impl Fn(&JobId) -> bool) {
         self.backoffs.retain(|job_id, _| is_waiting(job_id));
         self.by_job.retain(|job_id, _| is_waiting(job_id));
-        let mut timed_out = Vec::new();
+        self.quota_by_job.retain(|job_id, _| is_waiting(job_id));
+        let mut timed_out = BTreeSet::new();
         for (job_id, nominations) in &mut self.by_job {
             let kept = nominations.len();
             nominations.retain(|nomination| !nomination.has_timed_out(now));
             let expired = kept - nominations.len();
             if expired > 0 {
                 self.without_start += expired as u64;
-                timed_out.push(job_id.clone());
+                timed_out.insert(job_id.clone());
             }
         }
         self.by_job.retain(|_, nominations| !nominations.is_empty());
+        self.quota_by_job.retain(|job_id, kept| {
+            let has_timed_out = now.saturating_duration_since(kept.since) > NOMINATION_TIMEOUT;
+            if has_timed_out {
+                self.without_start += u64::from(kept.tasks);
+                timed_out.insert(job_id.clone());
+            }
+            !has_timed_out
+        });
         for job_id in timed_out {
             self.back_off(now, job_id);
         }
--- a/src/core/placement/preemption/mod.rs
+++ b/src/core/placement/preemption/mod.rs
@@ -70,6 +70,8 @@
 pub(in crate::core) struct PreemptionPlan {
     pub(in crate::core) preemptions: Vec<Preemption>,
     pub(in crate::core) beneficiaries: Vec<Beneficiary>,
+    /// The jobs that get the quota which is freed within their team, once for each task.
+    pub(in crate::core) quota_beneficiaries: Vec<JobId>,
 }
 
 /// Whether the start of a task is protected. A protected task is not preempted until it has run long
@@ -99,7 +101,7 @@
     /// their limits.
     pub(in crate::core) fn plan_preemptions(&self, input: &PreemptionInput<'_>) -> PreemptionPlan {
         let mut plan = self.plan_preemptions_for_resources(input);
-        self.plan_preemptions_within_teams(input, &mut plan.preemptions);
+        self.plan_preemptions_within_teams(input, &mut plan);
         plan
     }
 }
--- a/src/core/placement/preemption/within_team.rs
+++ b/src/core/placement/preemption/within_team.rs
@@ -1,9 +1,9 @@
 //! Preemption within a team: tasks of a lower priority are stopped if only the team's limit holds back a
 //! job of a higher priority.
 
-use crate::core::model::{JobKind, Priority, Resources, TaskId, TeamName};
+use crate::core::model::{JobKind, JobSpec, Priority, Resources, TaskId, Team, TeamName};
 use crate::core::placement::preemption::{
-    Preemption, PreemptionInput, PreemptionReason, MAX_PREEMPTIONS_PER_ROUND,
+    Preemption, PreemptionInput, PreemptionPlan, PreemptionReason, MAX_PREEMPTIONS_PER_ROUND,
 };
 use crate::core::state::{ClusterState, Job};
 use std::collections::{HashMap, HashSet};
@@ -27,15 +27,33 @@
 }
 
 impl<'a> TeamWorkload<'a> {
-    /// Removes and returns the cheapest victim whose priority is lower than `priority`.
-    fn take_cheapest_below(&mut self, priority: Priority) -> Option<Victim<'a>> {
-        let index = self
-            .victims
-            .iter()
-            .rposition(|victim| victim.job.spec.priority < priority)?;
-        let victim = self.victims.remove(index);
-        self.used.sub(&victim.job.spec.resources);
-        Some(victim)
+    /// Selects the cheapest victims of a lower priority that make room for one more task within the team's
+    /// limit. Returns `None`, and selects nothing, if all of them together do not.
+    fn make_room(&mut self, team: &Team, preemptor: &JobSpec) -> Option<Vec<TaskId>> {
+        let mut used = self.used;
+        let mut chosen = Vec::new();
+        // The cheapest victims are the last ones.
+        for (index, victim) in self.victims.iter().enumerate().rev() {
+            if team.allows(&used, &preemptor.resources) {
+                break;
+            }
+            if victim.job.spec.priority < preemptor.priority {
+                used.sub(&victim.job.spec.resources);
+                chosen.push(index);
+            }
+        }
+        if !team.allows(&used, &preemptor.resources) {
+            return None;
+        }
+        self.used = used;
+        self.used.add(&preemptor.resources);
+        // The indices descend, so that removing one leaves those to come in place.
+        let chosen = chosen.into_iter();
+        Some(
+            chosen
+                .map(|index| self.victims.remove(index).task)
+                .collect(),
+        )
     }
 }
 
@@ -44,39 +62,28 @@
     pub(super) fn plan_preemptions_within_teams(
         &self,
         input: &PreemptionInput<'_>,
-        preemptions: &mut Vec<Preemption>,
+        plan: &mut PreemptionPlan,
     ) {
         let preemptors: Vec<&Job> = input
             .quota_limited_jobs
             .iter()
             .filter_map(|id| self.jobs.get(id))
             .filter(|job| job.spec.priority > Priority::Standard && job.spec.kind == JobKind::Batch)
+            .filter(|job| {
+                self.nominations
+                    .may_preempt_for_quota(input.now, &job.spec.job_id)
+            })
             .collect();
         if preemptors.is_empty() {
             return;
         }
-        let mut workload_by_team = self.team_workloads(&preemptors, input, preemptions);
+        let mut workload_by_team = self.team_workloads(&preemptors, input, &plan.preemptions);
         for job in preemptors {
-            let spec = &job.spec;
-            let Some(team) = self.team_config(&spec.team) else {
-                continue;
-            };
-            let Some(workload) = workload_by_team.get_mut(&spec.team) else {
-                continue;
-            };
-            let wanted = spec.resources.times(f64::from(job.waiting_count()));
-            while !team.allows(&workload.used, &wanted)
-                && preemptions.len() < MAX_PREEMPTIONS_PER_ROUND
-            {
-                let Some(victim) = workload.take_cheapest_below(spec.priority) else {
-                    break;
-                };
-                preemptions.push(Preemption {
-                    task: victim.task,
-                    reason: PreemptionReason::TeamLimit,
-                });
+            let team = self.team_config(&job.spec.team);
+            let workload = workload_by_team.get_mut(&job.spec.team);
+            if let (Some(team), Some(workload)) = (team, workload) {
+                preempt_within_team(job, team, workload, plan);
             }
-            workload.used.add(&wanted);
         }
     }
 
@@ -138,3 +145,29 @@
         }
     }
 }
+
+/// Selects victims for each waiting task of a job that then fits under its team's limit.
+fn preempt_within_team(
+    job: &Job,
+    team: &Team,
+    workload: &mut TeamWorkload<'_>,
+    plan: &mut PreemptionPlan,
+) {
+    for _ in 0..job.waiting_count() {
+        if plan.preemptions.len() >= MAX_PREEMPTIONS_PER_ROUND {
+            break;
+        }
+        let Some(victims) = workload.make_room(team, &job.spec) else {
+            break;
+        };
+        if victims.is_empty() {
+            continue;
+        }
+        plan.quota_beneficiaries.push(job.spec.job_id.clone());
+        let preemptions = victims.into_iter().map(|task| Preemption {
+            task,
+            reason: PreemptionReason::TeamLimit,
+        });
+        plan.preemptions.extend(preemptions);
+    }
+}
--- a/src/core/placement/round.rs
+++ b/src/core/placement/round.rs
@@ -139,6 +139,20 @@
         plan
     }
 
+    /// The quota that is kept from a job for more urgent jobs of its team.
+    pub(super) fn quota_kept_from(&self, spec: &JobSpec) -> Resources {
+        let mut kept = Resources::default();
+        for (job_id, tasks) in self.nominations.quota() {
+            let beneficiary = self.jobs.get(job_id).map(|job| &job.spec);
+            let beneficiary =
+                beneficiary.filter(|b| b.team == spec.team && b.priority > spec.priority);
+            if let Some(beneficiary) = beneficiary {
+                kept.add(&beneficiary.resources.times(f64::from(tasks)));
+            }
+        }
+        kept
+    }
+
     /// Returns a function that looks up the zone of a machine. It returns `None` if the machine is
     /// unknown or its zone is not known.
     pub(in crate::core) fn zone_of(&self) -> impl Fn(&MachineId) -> Option<Zone> + '_ {
--- a/tests/scheduler/preemption.rs
+++ b/tests/scheduler/preemption.rs
@@ -205,3 +205,79 @@
     assert_eq!(fleet.fixture.cluster.nominations.without_start(), 2);
     assert_eq!(fleet.launched[&JobId::from("wk-000002")], 1);
 }
+
+/// Guards against tasks that are stopped for a more urgent job of their team although their quota does not
+/// suffice for it, or goes back to them.
+#[test]
+fn tasks_are_stopped_within_a_team_only_if_that_starts_the_more_urgent_job() {
+    struct Case {
+        name: &'static str,
+        /// The CPUs that a gang of the team uses, which is never preempted.
+        gang_cpus: f64,
+        /// The number of tasks of 2 CPUs that may be preempted.
+        victims: u32,
+        urgent_cpus: f64,
+        starts: bool,
+    }
+    // The team's limit is 32 CPUs.
+    let cases = [
+        Case {
+            name: "the victims' quota does not suffice",
+            gang_cpus: 26.0,
+            victims: 3,
+            urgent_cpus: 8.0,
+            starts: false,
+        },
+        Case {
+            name: "the quota of all victims is needed",
+            gang_cpus: 24.0,
+            victims: 4,
+            urgent_cpus: 8.0,
+            starts: true,
+        },
+        Case {
+            name: "the quota of one victim is needed",
+            gang_cpus: 24.0,
+            victims: 4,
+            urgent_cpus: 2.0,
+            starts: true,
+        },
+    ];
+    for case in cases {
+        let name = case.name;
+        let mut fleet = SimulatedFleet::new(config(), 8, 8.0);
+        let mut gang = spec("wk-000001", case.gang_cpus as u32 / 2, 2.0);
+        gang.kind = JobKind::Gang;
+        gang.expected = secs(500);
+        fleet.fixture.job(gang);
+        let mut victim = spec("wk-000002", case.victims, 2.0);
+        victim.expected = secs(500);
+        fleet.fixture.job(victim);
+        for _ in 0..5 {
+            fleet.second(|_| secs(500));
+        }
+        assert_eq!(
+            fleet.launched[&JobId::from("wk-000002")],
+            case.victims,
+            "{name}"
+        );
+        let mut urgent = spec("wk-000003", 1, case.urgent_cpus);
+        urgent.priority = Priority::High;
+        fleet.fixture.job(urgent);
+        for _ in 0..60 {
+            fleet.second(|_| secs(500));
+        }
+        let started = fleet.first_launch.contains_key(&"wk-000003".into());
+        assert_eq!(started, case.starts, "{name}");
+        let launched = fleet.launched[&JobId::from("wk-000002")];
+        assert_eq!(
+            launched, case.victims,
+            "{name}: tasks were stopped and started again"
+        );
+        assert_eq!(
+            fleet.fixture.cluster.nominations.without_start(),
+            0,
+            "{name}"
+        );
+    }
+}
