Starved arrays reserve machines exclusively near their expected start

Change: for the last 60 s before its expected start a starved array has its machine alone, as before; only earlier do other tasks start there.

--- a/src/core/placement/array.rs
+++ b/src/core/placement/array.rs
@@ -1,5 +1,6 @@
 //! Places the tasks of job arrays one at a time.
 
+use crate::core::model::Resources;
 use crate::core::placement::plan::{StartKind, TaskStart, WaitingTasks};
 use crate::core::placement::queue::QueueEntry;
 use crate::core::placement::round::{is_subject_to_start_limit, PlacementRound};
@@ -17,6 +18,9 @@
 /// The number of a starved job's tasks divided by this, rounded up, is the number of busy machines that the
 /// job may reserve for its exclusive use.
 const EXCLUSIVE_MACHINES_DIVISOR: u32 = 32;
+/// A machine is reserved for exclusive use only if the starved job is expected to start on it within this time.
+/// Until then the machine also runs tasks that are expected to end before that start.
+const MAX_EXCLUSIVE_WAIT: Duration = Duration::from_secs(60);
 
 /// The state of a job array while a round places its tasks.
 struct ArrayPlacement<'a> {
@@ -88,7 +92,11 @@
             // Smaller tasks would otherwise use freed resources before enough are free for a task of this
             // job.
             self.exclusive_machines -= 1;
-            slot.keep_until(chosen.available_at);
+            if chosen.available_at <= round.now + MAX_EXCLUSIVE_WAIT {
+                slot.free = Resources::default();
+            } else {
+                slot.keep_until(chosen.available_at);
+            }
         }
         let wait = chosen.available_at.saturating_duration_since(round.now);
         round.longest_wait = round.longest_wait.max(wait);
--- a/src/core/placement/slots.rs
+++ b/src/core/placement/slots.rs
@@ -37,7 +37,8 @@
     /// The index of the machine's type in the fleet.
     pub(super) type_index: usize,
     /// Resources that are free now, less this round's starts and room that is kept for nominated tasks. For a
-    /// booting machine: those that will be free when it is up.
+    /// booting machine: those that will be free when it is up. Zero in each resource if a starved job has
+    /// reserved the whole machine.
     pub(super) free: Resources,
     /// When a starved job is expected to start on this machine, for which the machine is kept; `None` if it is
     /// not kept. See [`Slot::admits`].
