--- a/src/core/placement/nominations.rs
+++ b/src/core/placement/nominations.rs
@@ -1,7 +1,7 @@
 //! Nominations: room on machines and quota of teams that are kept for the tasks for which others were preempted.
 //!
 //! The room or quota that a preemption frees is kept for its beneficiary until one of the beneficiary's tasks starts, the
-//! job no longer waits, or [`NOMINATION_TIMEOUT`] passes. Without this, a job that comes earlier in the queue
+//! job no longer waits, or a time limit (`NOMINATION_TIMEOUT`) passes. Without this, a job that comes earlier in the queue
 //! would take it, and would be preempted again in the next round.
 //!
 //! Invariant: each preemption brings its beneficiary to a start, or nothing is preempted for that
