Review, case 4: more tiny tasks on a machine than its report can list

With 30 jobs of 71 tiny tasks in place of 12 the leader fills one machine with 1,600 tasks, whose report exceeds 64 KiB and is answered 400; the lease of a healthy machine runs out again and again, and no accepted job ends.

--- /dev/null
+++ b/review/standins-2/main.rs
@@ -0,0 +1,24 @@
+//! Runs one case of the review: `world CASE ROOT RECORD`, where ROOT is the root of the repository and RECORD the
+//! file for the record.
+
+mod cluster;
+mod codec;
+mod site;
+mod small_tasks;
+mod store;
+mod world;
+
+use std::path::Path;
+
+fn main() {
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    let [case, root, record] = &arguments[..] else {
+        std::process::exit(cluster::COULD_NOT_RUN);
+    };
+    let (root, record) = (Path::new(root), Path::new(record));
+    let code = match case.as_str() {
+        "small-tasks" => small_tasks::run(root, record),
+        _ => cluster::COULD_NOT_RUN,
+    };
+    std::process::exit(code);
+}
