--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -5,6 +5,7 @@
 mod codec;
 mod site;
 mod small_tasks;
+mod spread_gang;
 mod store;
 mod world;
 
@@ -18,6 +19,7 @@
     let (root, record) = (Path::new(root), Path::new(record));
     let code = match case.as_str() {
         "small-tasks" => small_tasks::run(root, record),
+        "spread-gang" => spread_gang::run(root, record),
         _ => cluster::COULD_NOT_RUN,
     };
     std::process::exit(code);
