--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -1,6 +1,7 @@
 //! Runs one case of the review: `world CASE ROOT RECORD`, where ROOT is the root of the repository and RECORD the
 //! file for the record.
 
+mod awaits;
 mod cluster;
 mod codec;
 mod site;
@@ -20,6 +21,7 @@
     let code = match case.as_str() {
         "small-tasks" => small_tasks::run(root, record),
         "spread-gang" => spread_gang::run(root, record),
+        "awaits" => awaits::run(root, record),
         _ => cluster::COULD_NOT_RUN,
     };
     std::process::exit(code);
