--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -4,6 +4,7 @@
 mod awaits;
 mod cluster;
 mod codec;
+mod gang_fetch;
 mod site;
 mod small_tasks;
 mod spread_gang;
@@ -20,6 +21,7 @@
     let (root, record) = (Path::new(root), Path::new(record));
     let code = match case.as_str() {
         "small-tasks" => small_tasks::run(root, record),
+        "gang-fetch" => gang_fetch::run(root, record),
         "spread-gang" => spread_gang::run(root, record),
         "awaits" => awaits::run(root, record),
         _ => cluster::COULD_NOT_RUN,
