--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -5,6 +5,7 @@
 mod cluster;
 mod codec;
 mod gang_fetch;
+mod quota;
 mod site;
 mod small_tasks;
 mod spread_gang;
@@ -23,6 +24,7 @@
         "small-tasks" => small_tasks::run(root, record),
         "gang-fetch" => gang_fetch::run(root, record),
         "spread-gang" => spread_gang::run(root, record),
+        "quota" => quota::run(root, record),
         "awaits" => awaits::run(root, record),
         _ => cluster::COULD_NOT_RUN,
     };
