--- a/review/standins-2/site.rs
+++ b/review/standins-2/site.rs
@@ -47,6 +47,8 @@
     pub value_kb: f64,
     pub txn_ops: usize,
     pub cloud_rps: f64,
+    /// The table `state.next` of the settings, if there is one.
+    pub next_limits: Option<&'static str>,
     pub ram_mb: f64,
     pub max_sockets: usize,
     pub teams: Vec<Team>,
@@ -67,6 +69,7 @@
         value_kb: 8.0,
         txn_ops: 24,
         cloud_rps: 1.5,
+        next_limits: None,
         ram_mb: 136.0,
         max_sockets: 2500,
         teams: vec![Team {
@@ -114,6 +117,7 @@
         value_kb: 32.0,
         txn_ops: 48,
         cloud_rps: 5.0,
+        next_limits: None,
         ram_mb: 200.0,
         max_sockets: 3500,
         teams: vec![Team {
@@ -256,6 +260,9 @@
             site.ram_mb,
             site.max_sockets
         );
+        if let Some(next) = site.next_limits {
+            t += &format!("[deployment.state.next]\n{next}\n");
+        }
         let config = temporary.join(format!("node-{n}.toml"));
         std::fs::write(&config, t).expect("the settings are written");
         nodes.push(Node {
